Lay down the design, the shared types and the decision functions

Cause: the project is empty; the parts are written in parallel and need one page and one set of shared types. Conclusion: the apply gate refuses older versions, versions below the floor and dangling references; the rest is not yet measured.

--- /dev/null
+++ b/src/admin_api.rs
@@ -0,0 +1,1 @@
+//! HTTP API for operators.
--- /dev/null
+++ b/src/call_proxy.rs
@@ -0,0 +1,1 @@
+//! HTTP server for callers.
--- /dev/null
+++ b/src/config_store.rs
@@ -0,0 +1,1 @@
+//! Accepted configuration and its audit record.
--- /dev/null
+++ b/src/config_sync.rs
@@ -0,0 +1,1 @@
+//! Dissemination of configuration between nodes.
--- /dev/null
+++ b/src/contract.rs
@@ -0,0 +1,1 @@
+//! Contracts of customers.
--- /dev/null
+++ b/src/controller_pool.rs
@@ -0,0 +1,1 @@
+//! Fixed workers that run the controllers' periodic steps.
--- /dev/null
+++ b/src/domain_reader.rs
@@ -0,0 +1,1 @@
+//! Reader of the store for a failure domain.
--- /dev/null
+++ b/src/event_log.rs
@@ -0,0 +1,1 @@
+//! Structured log.
--- /dev/null
+++ b/src/forward_server.rs
@@ -0,0 +1,1 @@
+//! HTTP server for calls forwarded by other nodes.
--- /dev/null
+++ b/src/gossip.rs
@@ -0,0 +1,1 @@
+//! Membership by gossip over UDP.
--- /dev/null
+++ b/src/ini_file.rs
@@ -0,0 +1,1 @@
+//! INI text with the line of every key.
--- /dev/null
+++ b/src/join.rs
@@ -0,0 +1,1 @@
+//! Start-up of a node without state.
--- /dev/null
+++ b/src/lease.rs
@@ -0,0 +1,1 @@
+//! Leases with fencing tokens.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,45 @@
+//! Configuration distribution and call routing for a service mesh without a control tier.
+//!
+//! One node process stands beside each target. Nodes find each other by gossip, spread accepted
+//! configuration, route calls, and drive moves between versions under leases in the platform's table.
+//! See `docs/design.md` for how the parts act together.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod admin_api;
+pub mod apply_gate;
+pub mod blackboard;
+pub mod call_evidence;
+pub mod call_proxy;
+pub mod config;
+pub mod config_store;
+pub mod config_sync;
+pub mod contract;
+pub mod controller_pool;
+pub mod domain_reader;
+pub mod event_log;
+pub mod forward_server;
+pub mod gossip;
+pub mod ids;
+pub mod ini_file;
+pub mod join;
+pub mod lease;
+pub mod limit_share;
+pub mod membership;
+pub mod move_controller;
+pub mod move_verdict;
+pub mod node;
+pub mod node_metrics;
+pub mod once_record;
+pub mod operator_cli;
+pub mod operator_client;
+pub mod platform_store;
+pub mod retry_budget;
+pub mod route_table;
+pub mod settings;
+pub mod slot_gate;
+pub mod target_client;
+pub mod veto_table;
+pub mod wire;
+pub mod wire_codec;
--- /dev/null
+++ b/src/move_controller.rs
@@ -0,0 +1,1 @@
+//! Control of moves between versions.
--- /dev/null
+++ b/src/move_verdict.rs
@@ -0,0 +1,1 @@
+//! Sequential test of a candidate version.
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,1 @@
+//! Assembly of a node.
--- /dev/null
+++ b/src/node_metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics of a node.
--- /dev/null
+++ b/src/once_record.rs
@@ -0,0 +1,1 @@
+//! Records of idempotency keys.
--- /dev/null
+++ b/src/operator_cli.rs
@@ -0,0 +1,1 @@
+//! Command line of the operator's program.
--- /dev/null
+++ b/src/operator_client.rs
@@ -0,0 +1,1 @@
+//! Client of the admin API.
--- /dev/null
+++ b/src/platform_store.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's table service and object store.
--- /dev/null
+++ b/src/target_client.rs
@@ -0,0 +1,1 @@
+//! The own target and the client towards it.
--- /dev/null
+++ b/src/wire_codec.rs
@@ -0,0 +1,1 @@
+//! Frames of a connection between nodes.
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/tests/config_rules.rs
@@ -0,0 +1,143 @@
+//! The rules under which a configuration may be put in force.
+
+use {
+    poplarwing::{
+        apply_gate::{ApplyError, ApplyGate, ConfigSource},
+        config::{
+            CallLimits, ConfigError, ConfigResource, ConfigSnapshot, CustomerSpec, MovePolicy,
+            MovePreference, ServiceKey, ServiceSpec, TrafficSplit, VersionedResource,
+        },
+    },
+    std::time::Duration,
+};
+
+fn service_key() -> ServiceKey {
+    ServiceKey {
+        customer: "kestrel".to_owned(),
+        service: "ledger".to_owned(),
+    }
+}
+
+fn snapshot(version: u64) -> ConfigSnapshot {
+    let customer = CustomerSpec {
+        customer: "kestrel".to_owned(),
+        limits: CallLimits::default(),
+    };
+    let service = ServiceSpec {
+        key: service_key(),
+        host: "ledger.kestrel.example".to_owned(),
+        initial_version: "v1".to_owned(),
+        limits: CallLimits::default(),
+        routes: Vec::new(),
+        move_policy: MovePolicy {
+            prefer: MovePreference::Safety,
+            finish_within: Duration::from_secs(600),
+            canary_permille: 50,
+            watch_for: Duration::from_secs(60),
+        },
+    };
+    let split = TrafficSplit {
+        key: service_key(),
+        stable: "v1".to_owned(),
+        candidate_permille: 0,
+        current_move: None,
+    };
+    let resources: [ConfigResource; 3] = [customer.into(), service.into(), split.into()];
+    let entries = resources.into_iter().map(|resource| {
+        (
+            resource.name(),
+            VersionedResource {
+                changed_at: 1,
+                resource,
+            },
+        )
+    });
+    ConfigSnapshot {
+        version,
+        resources: entries.collect(),
+    }
+}
+
+fn open_gate() -> ApplyGate {
+    let gate = ApplyGate::default();
+    gate.set_floor(0);
+    gate
+}
+
+/// Guards against a proxy that goes back when updates arrive in the wrong order.
+#[test]
+fn older_version_is_refused_after_a_newer_one() {
+    let gate = open_gate();
+    gate.offer(snapshot(7), &ConfigSource::Store)
+        .expect("the first version is newer than none");
+
+    let refused = gate.offer(snapshot(6), &ConfigSource::Peer("n2".to_owned()));
+
+    assert!(matches!(
+        refused,
+        Err(ApplyError::NotNewer {
+            offered: 6,
+            current: 7,
+            ..
+        })
+    ));
+    assert_eq!(gate.version(), 7);
+}
+
+/// Guards against a restarted node that joins through a lagging peer.
+#[test]
+fn version_below_the_floor_is_refused() {
+    let gate = ApplyGate::default();
+    let unknown = gate.offer(snapshot(5), &ConfigSource::Store);
+    gate.set_floor(9);
+
+    let refused = gate.offer(snapshot(8), &ConfigSource::Peer("n2".to_owned()));
+
+    assert!(matches!(unknown, Err(ApplyError::FloorUnknown { .. })));
+    assert!(matches!(
+        refused,
+        Err(ApplyError::BelowFloor {
+            offered: 8,
+            floor: 9,
+            ..
+        })
+    ));
+    assert!(!gate.is_ready());
+}
+
+/// Guards against routes that name a resource which the configuration lacks, and against a part of such
+/// a configuration being applied.
+#[test]
+fn configuration_with_a_dangling_reference_changes_nothing() {
+    let gate = open_gate();
+    gate.offer(snapshot(1), &ConfigSource::Store)
+        .expect("the configuration is valid");
+    let before = gate.current();
+    let mut broken = snapshot(2);
+    broken.resources.remove("split/kestrel/ledger");
+
+    let refused = gate.offer(broken, &ConfigSource::Store);
+
+    let Err(ApplyError::Invalid { cause, .. }) = refused else {
+        panic!("expected a refusal, got {refused:?}");
+    };
+    assert!(matches!(*cause, ConfigError::MissingReference { .. }));
+    assert_eq!(gate.current(), before);
+}
+
+/// Guards against a delta that leads to other content than its sender had.
+#[test]
+fn delta_reproduces_the_snapshot_and_a_damaged_one_is_refused() {
+    let old = snapshot(1);
+    let mut new = snapshot(2);
+    new.resources.remove("split/kestrel/ledger");
+    let delta = new.delta_from(&old);
+    let mut damaged = delta.clone();
+    damaged.removed.clear();
+
+    let applied = old.with_delta(&delta);
+    let refused = old.with_delta(&damaged);
+
+    assert_eq!(applied, Ok(new));
+    assert!(matches!(refused, Err(ConfigError::HashMismatch { .. })));
+}
