Count unknown demand of other nodes as equal to the own

Cause: a node that had not yet heard the others' demand took nearly the whole limit, so nodes that restarted together admitted twice the limit. Change: demand 0 means unknown and counts as the own demand.

--- a/src/limit_share.rs
+++ b/src/limit_share.rs
@@ -19,10 +19,13 @@
 /// Returns this node's share of a limit.
 ///
 /// Shares computed from one view of the demands sum up to the limit, so overshoot is bounded by the
-/// difference between the nodes' views. `others` holds the demands of the other nodes.
+/// difference between the nodes' views. `others` holds the demands of the other nodes; 0 means not yet
+/// known. An unknown demand counts as equal to the own, or nodes that all restarted together would each
+/// take nearly the whole limit until they hear from each other.
 pub fn share_of(limit: f64, own_demand: f64, others: &[f64]) -> f64 {
     let count = (others.len() + 1) as f64;
-    let total = own_demand + others.iter().sum::<f64>();
+    let assumed = |demand: &f64| if *demand > 0.0 { *demand } else { own_demand };
+    let total = own_demand + others.iter().map(assumed).sum::<f64>();
     if total <= 0.0 {
         return limit / count;
     }
@@ -62,7 +65,7 @@
     pub name: String,
     /// Limits of the scope over the whole fleet.
     pub limits: CallLimits,
-    /// Demand in calls per second at each other node that shares the limits.
+    /// Demand in calls per second at each other node that shares the limits; 0 means not yet known.
     pub other_demands: Vec<u32>,
 }
 
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -45,7 +45,7 @@
     pub connections: u32,
     /// Whether the target asked for no new work.
     pub draining: bool,
-    /// Calls per second that reached the target's node lately; divides customer limits.
+    /// Calls per second that reached the target's node lately, at least 1; 0 means not yet measured.
     pub demand: u32,
 }
 
