Shorten the time for which unused rate is saved up to 250 ms

Cause: with 1 s of saved-up rate, a full second could hold 1.5 limits. Conclusion: taken; exceeding a contract's limit costs more than a refusal that is true and can be sent to another node.

--- a/src/limit_share.rs
+++ b/src/limit_share.rs
@@ -14,7 +14,7 @@
 const DEMAND_PART: f64 = 0.8;
 
 /// Time over which a node may save up unused rate.
-const BURST_TIME: Duration = Duration::from_secs(1);
+const BURST_TIME: Duration = Duration::from_millis(250);
 
 /// Returns this node's share of a limit.
 ///
