--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,6 @@
-//! Stand-ins.
+//! Stand-ins for the platform, targets and callers, used by the tests and the demo.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod platform;
