--- a/src/apply_gate.rs
+++ b/src/apply_gate.rs
@@ -117,6 +117,16 @@
         state.floor = state.floor.max(floor);
     }
 
+    /// Returns whether the floor is known; before that no offer is accepted.
+    pub fn is_floor_known(&self) -> bool {
+        self.floor.lock().known
+    }
+
+    /// Returns the lowest version that may be applied.
+    pub fn floor(&self) -> ConfigVersion {
+        self.floor.lock().floor
+    }
+
     /// Returns whether calls may be routed: the floor is known and a version at or above it is in force.
     pub fn is_ready(&self) -> bool {
         let state = self.floor.lock();
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -10,6 +10,7 @@
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
+        sync::Arc,
     },
 };
 
@@ -52,7 +53,9 @@
 /// What is known of one node.
 ///
 /// Invariant: a record replaces another of the same node only if it has a higher incarnation, or the
-/// same incarnation and a higher sequence, or the same of both and a later state.
+/// same incarnation and a later state, or the same of both and a higher sequence. The state goes before
+/// the sequence, so that a late update of a target cannot bring a dead node back to life; only the node
+/// itself can, with a higher incarnation.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct MemberRecord {
@@ -79,8 +82,8 @@
 impl MemberRecord {
     /// Returns whether this record is newer than another of the same node.
     pub fn supersedes(&self, other: &MemberRecord) -> bool {
-        let own = (self.incarnation, self.sequence, self.state);
-        own > (other.incarnation, other.sequence, other.state)
+        let own = (self.incarnation, self.state, self.sequence);
+        own > (other.incarnation, other.state, other.sequence)
     }
 
     /// Returns whether calls may be sent to the node's target.
@@ -108,9 +111,9 @@
 /// Nodes of the fleet by name, with an index from services to nodes.
 ///
 /// Invariant: `by_service` lists exactly the nodes whose record names that service.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct MemberTable {
-    records: HashMap<NodeId, MemberRecord>,
+    records: HashMap<Arc<str>, Arc<MemberRecord>>,
     by_service: HashMap<ServiceKey, Vec<NodeId>>,
     floors: BTreeMap<NodeId, ConfigVersion>,
 }
@@ -121,20 +124,41 @@
     /// The highest configuration version ever reported by a node is remembered over its restarts.
     pub fn merge(&mut self, record: MemberRecord) -> bool {
         self.raise_floor(&record.node, record.applied_version);
-        let present = self.records.get(&record.node);
+        let present = self.get(&record.node);
         if present.is_some_and(|present| !record.supersedes(present)) {
             return false;
         }
         self.unindex(&record.node);
         self.index(&record);
-        self.records.insert(record.node.clone(), record);
+        let name = Arc::from(record.node.as_str());
+        self.records.insert(name, Arc::new(record));
         true
     }
 
     /// Remembers that a node has had a configuration version in force.
     pub fn raise_floor(&mut self, node: &str, version: ConfigVersion) {
-        let floor = self.floors.entry(node.to_owned()).or_default();
-        *floor = version.max(*floor);
+        if version <= self.floor_of(node) {
+            return;
+        }
+        self.floors.insert(node.to_owned(), version);
+        if let Some(record) = self.records.get_mut(node) {
+            let applied = record.applied_version.max(version);
+            Arc::make_mut(record).applied_version = applied;
+        }
+    }
+
+    /// Drops floors of forgotten nodes that are not above this node's own version.
+    ///
+    /// A node answers a joining peer with its own version as well, so such a floor adds nothing.
+    pub fn prune_floors(&mut self, own_version: ConfigVersion) {
+        let records = &self.records;
+        self.floors
+            .retain(|node, floor| *floor > own_version || records.contains_key(node.as_str()));
+    }
+
+    /// Returns the number of nodes whose floor is remembered.
+    pub fn floor_count(&self) -> usize {
+        self.floors.len()
     }
 
     /// Returns the highest configuration version that a node is known to have had in force.
@@ -144,12 +168,28 @@
 
     /// Returns the record of a node.
     pub fn get(&self, node: &str) -> Option<&MemberRecord> {
-        self.records.get(node)
+        self.records.get(node).map(Arc::as_ref)
+    }
+
+    /// Returns the shared name of a node, so that other tables need no copy of it.
+    pub fn name_of(&self, node: &str) -> Option<Arc<str>> {
+        let (name, _) = self.records.get_key_value(node)?;
+        Some(name.clone())
+    }
+
+    /// Returns the number of nodes.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no node is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
     }
 
     /// Iterates over all records in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.records.values()
+        self.records.values().map(Arc::as_ref)
     }
 
     /// Returns the available targets of a service, of all versions, in order of node name.
@@ -159,7 +199,7 @@
         };
         let mut endpoints: Vec<TargetEndpoint> = nodes
             .iter()
-            .filter_map(|node| self.records.get(node))
+            .filter_map(|node| self.get(node))
             .filter(|record| record.is_available())
             .filter_map(endpoint_of)
             .collect();
@@ -188,8 +228,13 @@
         else {
             return;
         };
-        if let Some(nodes) = self.by_service.get_mut(&target.key) {
-            nodes.retain(|other| other != node);
+        let key = target.key.clone();
+        let Some(nodes) = self.by_service.get_mut(&key) else {
+            return;
+        };
+        nodes.retain(|other| other != node);
+        if nodes.is_empty() {
+            self.by_service.remove(&key);
         }
     }
 }
