--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod settings;
 pub mod slot_gate;
 pub mod target_client;
+pub mod value_rule;
 pub mod veto_table;
 pub mod wire;
 pub mod wire_codec;
