Add the sequential verdict and the planner of moves

Cause: moves between versions need a decision that holds under repeated looks, and a planner that can be tested without a network.

Change: move_verdict turns cumulative counters into differences and compares the versions by the conditional odds of bad calls within short intervals, so that a fault common to both is no evidence. The statistic is a mixture over the size and the time of a change, which bounds the error over all looks. move_controller::plan chooses the next step; move_controller::schedule computes the steps backwards from the deadline.

--- a/src/move_controller.rs
+++ b/src/move_controller.rs
@@ -1,1 +1,4 @@
-//! Control of moves between versions.
+//! Drives moves between versions: pulls evidence, tests it, and takes the planned step.
+
+pub mod plan;
+pub mod schedule;
--- /dev/null
+++ b/src/move_verdict/route_stratum.rs
@@ -0,0 +1,190 @@
+//! Calls of both versions on one route over one short interval.
+
+use {
+    super::{BadCount, StratumTables, counter_history::CounterDifference, odds_test::OutcomeTable},
+    crate::call_evidence::BUCKET_COUNT,
+};
+
+/// Stable calls from which an interval is not extended further.
+const ENOUGH_STABLE_CALLS: u64 = 5;
+
+/// Ticks after which an interval ends unless it has calls of the candidate alone.
+const LONG_TICKS: u32 = 5;
+
+/// Ticks after which an interval ends in any case; older calls are not of the same moments.
+const MAX_TICKS: u32 = 15;
+
+/// Weight that the reference latency keeps with each tick: a memory of about 30 ticks.
+const REFERENCE_DECAY: f64 = 0.967;
+
+/// Weighted stable calls needed before a quantile of their latency is used.
+const MIN_REFERENCE_CALLS: f64 = 20.0;
+
+/// Calls of one version within a stratum.
+#[derive(Clone, Debug)]
+struct VersionCalls {
+    calls: u64,
+    failures: u64,
+    warm_calls: u64,
+    warm_failures: u64,
+    warm_buckets: [u64; BUCKET_COUNT],
+}
+
+impl Default for VersionCalls {
+    fn default() -> Self {
+        Self {
+            calls: 0,
+            failures: 0,
+            warm_calls: 0,
+            warm_failures: 0,
+            warm_buckets: [0; BUCKET_COUNT],
+        }
+    }
+}
+
+impl VersionCalls {
+    fn add(&mut self, difference: &CounterDifference) {
+        self.calls += difference.calls;
+        self.failures += difference.failures;
+        if !difference.warm {
+            return;
+        }
+        self.warm_calls += difference.calls;
+        self.warm_failures += difference.failures;
+        for (total, count) in self.warm_buckets.iter_mut().zip(&difference.buckets) {
+            *total += count;
+        }
+    }
+
+    fn failed(&self) -> BadCount {
+        BadCount {
+            calls: self.calls,
+            bad: self.failures.min(self.calls),
+        }
+    }
+
+    fn slow(&self, first_slow: usize) -> BadCount {
+        let calls: u64 = self.warm_buckets.iter().sum();
+        let bad = self.warm_buckets.iter().skip(first_slow).sum();
+        BadCount { calls, bad }
+    }
+
+    fn bad(&self, first_slow: usize) -> BadCount {
+        let slow = self.slow(first_slow);
+        BadCount {
+            calls: slow.calls,
+            bad: (slow.bad + self.warm_failures).min(slow.calls),
+        }
+    }
+}
+
+/// Recent latency of the stable version on one route.
+#[derive(Clone, Debug)]
+pub struct StableReference {
+    weights: [f64; BUCKET_COUNT],
+}
+
+impl Default for StableReference {
+    fn default() -> Self {
+        Self {
+            weights: [0.0; BUCKET_COUNT],
+        }
+    }
+}
+
+impl StableReference {
+    /// Takes over the stable calls of a stratum that has ended.
+    pub fn absorb(&mut self, stratum: &RouteStratum) {
+        let decay = REFERENCE_DECAY.powi(stratum.ticks as i32);
+        for (weight, count) in self.weights.iter_mut().zip(&stratum.stable.warm_buckets) {
+            *weight = *weight * decay + *count as f64;
+        }
+    }
+
+    /// Returns the first bucket above a quantile, or none while too few calls are known.
+    pub fn first_above(&self, quantile: f64) -> Option<usize> {
+        let total: f64 = self.weights.iter().sum();
+        if total < MIN_REFERENCE_CALLS {
+            return None;
+        }
+        let mut below = 0.0;
+        for (index, weight) in self.weights.iter().enumerate() {
+            below += weight;
+            if below >= quantile * total {
+                return Some(index + 1);
+            }
+        }
+        None
+    }
+}
+
+/// Calls of both versions on one route over one short interval.
+///
+/// Invariant: whether the interval ends depends on numbers of calls only, never on their outcomes.
+#[derive(Clone, Debug, Default)]
+pub struct RouteStratum {
+    candidate: VersionCalls,
+    stable: VersionCalls,
+    ticks: u32,
+}
+
+impl RouteStratum {
+    /// Adds calls of the candidate.
+    pub fn add_candidate(&mut self, difference: &CounterDifference) {
+        self.candidate.add(difference);
+    }
+
+    /// Adds calls of the stable version.
+    pub fn add_stable(&mut self, difference: &CounterDifference) {
+        self.stable.add(difference);
+    }
+
+    /// Counts a tick.
+    pub fn tick(&mut self) {
+        self.ticks += 1;
+    }
+
+    /// Returns whether the interval ends here.
+    ///
+    /// Stable calls of earlier ticks must not be compared with a later candidate call: a fault common to
+    /// both versions that begins in between would look like a fault of the candidate.
+    pub fn is_complete(&self) -> bool {
+        let enough = self.stable.calls >= ENOUGH_STABLE_CALLS;
+        let compared = self.candidate.calls == 0 || self.stable.calls > 0;
+        let long = compared && self.ticks >= LONG_TICKS;
+        enough || long || self.ticks >= MAX_TICKS
+    }
+
+    /// Returns the tables of the interval; quantiles come from earlier calls, so that the choice of the
+    /// boundary does not depend on the calls it divides.
+    pub fn tables(
+        &self,
+        reference: &StableReference,
+        quantiles: &[f64],
+        bad_quantile: f64,
+    ) -> StratumTables {
+        let slow = quantiles
+            .iter()
+            .filter_map(|quantile| reference.first_above(*quantile))
+            .map(|first_slow| OutcomeTable {
+                candidate: self.candidate.slow(first_slow),
+                stable: self.stable.slow(first_slow),
+            })
+            .collect();
+        let bad = reference
+            .first_above(bad_quantile)
+            .map(|first_slow| OutcomeTable {
+                candidate: self.candidate.bad(first_slow),
+                stable: self.stable.bad(first_slow),
+            });
+        StratumTables {
+            failures: OutcomeTable {
+                candidate: self.candidate.failed(),
+                stable: self.stable.failed(),
+            },
+            slow,
+            bad,
+            ticks: self.ticks,
+        }
+    }
+}
--- /dev/null
+++ b/tests/move_verdict.rs
@@ -0,0 +1,298 @@
+//! The sequential test of a candidate against the stable version.
+
+use {
+    bolero::check,
+    poplarwing::{
+        call_evidence::{BUCKET_COUNT, bucket_of},
+        move_verdict::{
+            BadCount, BadKind, MoveVerdict, VerdictPolicy, VerdictTest,
+            counter_history::{CounterDifference, CounterHistory, CounterReading},
+            odds_test::OutcomeTable,
+        },
+        wire::{EvidenceCounter, EvidenceReply},
+    },
+    std::time::Duration,
+};
+
+const FAST: Duration = Duration::from_millis(20);
+const SLOW: Duration = Duration::from_millis(200);
+
+fn difference(
+    version: &str,
+    route: &str,
+    calls: u64,
+    failures: u64,
+    slow: u64,
+) -> CounterDifference {
+    let mut buckets = vec![0; BUCKET_COUNT];
+    buckets[bucket_of(FAST)] = calls - slow;
+    buckets[bucket_of(SLOW)] = slow;
+    CounterDifference {
+        version: version.to_owned(),
+        route: route.to_owned(),
+        calls,
+        failures,
+        buckets,
+        warm: true,
+    }
+}
+
+fn verdict_test() -> VerdictTest {
+    VerdictTest::new("v2", "v1", VerdictPolicy::default())
+}
+
+/// Adds ticks with 20 stable calls each, of which one is slow.
+fn add_healthy_stable(test: &mut VerdictTest, ticks: u32) {
+    for _ in 0..ticks {
+        test.add(&[difference("v1", "jobs", 20, 0, 1)]);
+    }
+}
+
+/// Guards against a candidate that fails every call but is condemned only after many of them.
+#[test]
+fn outright_failure_is_condemned_after_few_calls() {
+    let mut test = verdict_test();
+    let mut failed = 0;
+
+    while !matches!(test.verdict(), MoveVerdict::Bad(_)) && failed < 100 {
+        failed += 1;
+        test.add(&[
+            difference("v1", "jobs", 20, 0, 1),
+            difference("v2", "jobs", 1, 1, 0),
+        ]);
+    }
+
+    let MoveVerdict::Bad(evidence) = test.verdict() else {
+        panic!("expected bad, got {:?}", test.verdict());
+    };
+    assert_eq!(evidence.kind, BadKind::Failed);
+    assert_eq!(evidence.candidate.bad, failed);
+    assert!(failed <= 4, "condemned after {failed} calls");
+}
+
+/// Guards against a candidate that is blamed for a fault of something both versions depend on.
+#[test]
+fn failure_of_both_versions_is_no_evidence() {
+    let mut test = verdict_test();
+    add_healthy_stable(&mut test, 5);
+
+    for _ in 0..60 {
+        test.add(&[
+            difference("v1", "jobs", 20, 20, 0),
+            difference("v2", "jobs", 5, 5, 0),
+        ]);
+    }
+
+    let MoveVerdict::Undecided { suspicious, .. } = test.verdict() else {
+        panic!("expected undecided, got {:?}", test.verdict());
+    };
+    assert!(!suspicious);
+}
+
+/// Guards against a candidate that is blamed for a slowdown that reaches both versions at once.
+#[test]
+fn slowness_of_both_versions_is_no_evidence() {
+    let mut test = verdict_test();
+    add_healthy_stable(&mut test, 5);
+
+    for _ in 0..60 {
+        test.add(&[
+            difference("v1", "jobs", 20, 0, 16),
+            difference("v2", "jobs", 5, 0, 4),
+        ]);
+    }
+
+    assert!(!matches!(test.verdict(), MoveVerdict::Bad(_)));
+}
+
+/// Guards against a slow candidate that stays because none of its calls fail.
+#[test]
+fn slow_candidate_is_condemned() {
+    let mut test = verdict_test();
+    add_healthy_stable(&mut test, 5);
+
+    for _ in 0..60 {
+        test.add(&[
+            difference("v1", "jobs", 20, 0, 1),
+            difference("v2", "jobs", 5, 0, 4),
+        ]);
+    }
+
+    let MoveVerdict::Bad(evidence) = test.verdict() else {
+        panic!("expected bad, got {:?}", test.verdict());
+    };
+    assert_eq!(evidence.kind, BadKind::Slow);
+}
+
+/// Guards against cold starts that condemn a good candidate.
+#[test]
+fn latency_of_a_cold_start_is_set_aside() {
+    let mut test = verdict_test();
+    add_healthy_stable(&mut test, 5);
+
+    for _ in 0..30 {
+        let mut cold = difference("v2", "jobs", 5, 0, 5);
+        cold.warm = false;
+        test.add(&[difference("v1", "jobs", 20, 0, 1), cold]);
+    }
+
+    let MoveVerdict::Undecided { suspicious, .. } = test.verdict() else {
+        panic!("expected undecided, got {:?}", test.verdict());
+    };
+    assert!(!suspicious);
+}
+
+/// Guards against a fault on one rare route that drowns in the calls of the others.
+#[test]
+fn failure_on_one_route_is_condemned_on_that_route() {
+    let mut test = verdict_test();
+
+    for _ in 0..20 {
+        test.add(&[
+            difference("v1", "jobs", 200, 0, 10),
+            difference("v2", "jobs", 10, 0, 0),
+            difference("v1", "signoff", 20, 0, 1),
+            difference("v2", "signoff", 1, 1, 0),
+        ]);
+    }
+
+    let MoveVerdict::Bad(evidence) = test.verdict() else {
+        panic!("expected bad, got {:?}", test.verdict());
+    };
+    assert_eq!(evidence.route.as_deref(), Some("signoff"));
+}
+
+/// Guards against a good candidate that is never accepted, and against a route without any call of the
+/// candidate that counts as tested.
+#[test]
+fn good_candidate_is_accepted_once_every_route_is_covered() {
+    let mut test = verdict_test();
+    let jobs = [
+        difference("v1", "jobs", 20, 0, 1),
+        difference("v2", "jobs", 20, 0, 1),
+        difference("v1", "signoff", 5, 0, 0),
+    ];
+    for _ in 0..60 {
+        test.add(&jobs);
+    }
+    let uncovered = test.verdict();
+
+    test.add(&[difference("v2", "signoff", 5, 0, 0)]);
+
+    assert!(matches!(uncovered, MoveVerdict::Undecided { .. }));
+    assert!(matches!(test.verdict(), MoveVerdict::Good(_)));
+}
+
+/// Guards against good calls of the past that hide a fault that begins later.
+#[test]
+fn later_failure_is_condemned_after_a_long_good_time() {
+    let mut test = verdict_test();
+    let good = [
+        difference("v1", "jobs", 20, 0, 1),
+        difference("v2", "jobs", 5, 0, 0),
+    ];
+    for _ in 0..900 {
+        test.add(&good);
+    }
+
+    for _ in 0..4 {
+        test.add(&[
+            difference("v1", "jobs", 20, 0, 1),
+            difference("v2", "jobs", 5, 5, 0),
+        ]);
+    }
+
+    assert!(matches!(test.verdict(), MoveVerdict::Bad(_)));
+}
+
+/// Guards against an error in the recurrence of the conditional likelihood.
+#[test]
+fn ratio_of_one_failed_call_among_eleven_is_exact() {
+    let table = OutcomeTable {
+        candidate: BadCount { calls: 1, bad: 1 },
+        stable: BadCount { calls: 10, bad: 0 },
+    };
+
+    let ratio = table.ln_ratio(8.0).exp();
+
+    // With odds of 8, the one bad call is the candidate's with probability 8 / 18, instead of 1 / 11.
+    assert!((ratio - (8.0 / 18.0) * 11.0).abs() < 1e-9);
+}
+
+fn counter(version: &str, calls: u64, failures: u64) -> EvidenceCounter {
+    let mut latency_buckets = vec![0; BUCKET_COUNT];
+    latency_buckets[3] = calls;
+    EvidenceCounter {
+        version: version.to_owned(),
+        route: "jobs".to_owned(),
+        calls,
+        failures,
+        latency_buckets,
+    }
+}
+
+fn reading(incarnation: u64, calls: u64, failures: u64) -> CounterReading {
+    CounterReading {
+        node: "n1".to_owned(),
+        reply: EvidenceReply {
+            incarnation,
+            counters: vec![counter("v2", calls, failures)],
+        },
+    }
+}
+
+/// Guards against calls from before the move, of unknown age, that enter the test.
+#[test]
+fn first_reading_is_only_a_reference() {
+    let mut history = CounterHistory::new(16, Duration::from_secs(60));
+
+    let first = history.differences(&[reading(1, 500, 400)], Duration::ZERO);
+    let second = history.differences(&[reading(1, 510, 401)], Duration::from_secs(1));
+
+    assert!(first.is_empty());
+    assert_eq!(second[0].calls, 10);
+    assert_eq!(second[0].failures, 1);
+}
+
+/// Guards against calls that are lost or counted twice when a node restarts, and against a node that
+/// raises its incarnation only to refute a suspicion and keeps its counters.
+#[test]
+fn new_incarnation_starts_from_zero_only_if_the_counters_fell() {
+    let mut history = CounterHistory::new(16, Duration::from_secs(60));
+    history.differences(&[reading(1, 100, 0)], Duration::ZERO);
+
+    let restarted = history.differences(&[reading(2, 7, 1)], Duration::from_secs(1));
+    let late = history.differences(&[reading(1, 103, 0)], Duration::from_secs(2));
+    let refuted = history.differences(&[reading(3, 9, 1)], Duration::from_secs(3));
+    let after = history.differences(&[reading(3, 12, 1)], Duration::from_secs(4));
+
+    assert_eq!((restarted[0].calls, restarted[0].failures), (7, 1));
+    assert!(late.is_empty());
+    assert!(refuted.is_empty());
+    assert_eq!(after[0].calls, 3);
+}
+
+/// Guards against negative differences, wrapped to huge counts, when counters restart or readings cross.
+#[test]
+fn differences_never_exceed_the_reading() {
+    check!()
+        .with_type::<Vec<(u8, u8, u8)>>()
+        .with_iterations(2000)
+        .for_each(|readings| {
+            let mut history = CounterHistory::new(16, Duration::from_secs(60));
+            for (tick, (incarnation, calls, failures)) in readings.iter().enumerate() {
+                let failures = (*failures).min(*calls);
+                let reading = reading(
+                    u64::from(*incarnation % 4),
+                    u64::from(*calls),
+                    u64::from(failures),
+                );
+                let now = Duration::from_secs(tick as u64);
+                for difference in history.differences(&[reading], now) {
+                    assert!(difference.calls <= u64::from(*calls));
+                    assert!(difference.failures <= u64::from(*calls));
+                    assert!(difference.buckets.iter().sum::<u64>() <= u64::from(*calls));
+                }
+            }
+        });
+}
