--- /dev/null
+++ b/src/call_proxy/attempt.rs
@@ -0,0 +1,442 @@
+//! Attempts of one call: choice of version and target, sending, and the retry rule.
+
+use {
+    super::{
+        CallContext, ExchangeBody,
+        answer::CallProgress,
+        body::{BodyError, GuardedBody, ReplayBuffer},
+        headers::{HOP_HEADER, HopRecord, parse_refusal, set_timeout, strip_headers},
+        intake::{RoutedCall, over_limit},
+    },
+    crate::{
+        call_events::{CallOutcome, CallRefusal, ReasonCode, RouteDecision},
+        forward_server::{TargetCall, exchange_here},
+        ids::NodeId,
+        membership::TargetEndpoint,
+        retry_budget::{AttemptFate, may_repeat},
+        route_table::{
+            AttemptEnd, FULL_SHARE_PERMILLE, TargetChoice, VersionChoice, choose_target,
+            choose_version, concentrate, fallback_version,
+        },
+        target_client::{exchange_error, peer_uri},
+    },
+    bytes::Bytes,
+    http::{HeaderValue, Request, Response, Version, header::HOST, request::Parts},
+    http_body::Body,
+    http_body_util::BodyExt,
+    rand::Rng,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout_at,
+    tokio_util::sync::{CancellationToken, DropGuard},
+};
+
+/// Most attempts of one call.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Silence after which a target's node is taken for unreachable.
+///
+/// A caller may set any short deadline; missing it must not pause a healthy target for other callers.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+
+/// What all attempts of a call led to.
+#[derive(Debug)]
+pub enum AttemptOutcome {
+    /// The target's answer, with its body to come.
+    Answered(Response<ExchangeBody>),
+    /// No answer of a target.
+    Refused(CallRefusal),
+}
+
+/// What earlier attempts of the call have left.
+///
+/// Invariant: `may_have_run` never becomes false again, so a later refusal cannot claim "not run".
+#[derive(Debug, Default)]
+struct AttemptHistory {
+    tried: Vec<NodeId>,
+    attempts: u32,
+    may_have_run: bool,
+    last_reason: Option<ReasonCode>,
+}
+
+/// The version and target of one attempt.
+#[derive(Debug)]
+struct AttemptChoice {
+    version: VersionChoice,
+    target: TargetChoice,
+}
+
+/// Runs attempts until one gives an answer or the retry rule forbids another.
+pub async fn run_attempts<B>(
+    context: &Arc<CallContext>,
+    call: &RoutedCall,
+    head: &Parts,
+    body: &ReplayBuffer<B>,
+    progress: &mut CallProgress,
+) -> AttemptOutcome
+where
+    B: Body<Data = Bytes> + Unpin + Send + 'static,
+    B::Error: Into<BodyError>,
+{
+    let mut history = AttemptHistory::default();
+    let draw = rand::rng().random_range(0..FULL_SHARE_PERMILLE);
+    context.budget.lock().earn(Instant::now());
+    let mut last: Option<CallRefusal> = None;
+    loop {
+        let Some(choice) = choose(context, call, draw, &history) else {
+            return refuse(last.unwrap_or_else(|| no_target(call)), &history);
+        };
+        let Some(attempt_body) = body.next_attempt() else {
+            return refuse(last.unwrap_or_else(|| no_target(call)), &history);
+        };
+        history.attempts += 1;
+        report_choice(context, call, &choice, &history, progress);
+        let node = choice.target.target.node.clone();
+        let attempt = Attempt {
+            context,
+            call,
+            head,
+            choice: &choice,
+        };
+        let attempted = attempt.run(attempt_body, progress).await;
+        let (fate, refusal, answer) = match attempted {
+            Ok(answer) if !is_gateway_error(&answer) => {
+                body.stop_keeping();
+                return AttemptOutcome::Answered(answer);
+            }
+            Ok(answer) => (AttemptFate::ServerError, bad_gateway(&answer), Some(answer)),
+            Err(refusal) => (fate_of(&refusal), refusal, None),
+        };
+        if body.is_over_limit() {
+            return refuse(over_limit_midway(call, fate), &history);
+        }
+        let stale = refusal.reason == "stale-connection";
+        let again = fate != AttemptFate::Unknown || refusal.reason != "deadline";
+        let allowed = again
+            && may_repeat(fate, call.route.idempotent)
+            && history.attempts < MAX_ATTEMPTS
+            && Instant::now() < call.deadline
+            && body.can_repeat();
+        if !stale {
+            history.tried.push(node);
+        }
+        // A request that met a closed pooled connection never left this node: sending it is no retry.
+        let allowed = allowed
+            && choose(context, call, draw, &history).is_some()
+            && (stale || context.budget.lock().spend(Instant::now()));
+        if !allowed {
+            return match answer {
+                Some(answer) => {
+                    body.stop_keeping();
+                    AttemptOutcome::Answered(answer)
+                }
+                None => refuse(refusal, &history),
+            };
+        }
+        history.may_have_run |= fate != AttemptFate::NotRun;
+        history.last_reason = Some(refusal.reason.clone());
+        last = Some(refusal);
+    }
+}
+
+fn fate_of(refusal: &CallRefusal) -> AttemptFate {
+    match refusal.outcome {
+        CallOutcome::NotRun => AttemptFate::NotRun,
+        CallOutcome::Unknown | CallOutcome::Failed => AttemptFate::Unknown,
+    }
+}
+
+fn is_gateway_error(answer: &Response<ExchangeBody>) -> bool {
+    matches!(answer.status().as_u16(), 502..=504)
+}
+
+fn bad_gateway(answer: &Response<ExchangeBody>) -> CallRefusal {
+    let status = answer.status();
+    let message = format!("exchange with the target: it answered {status}");
+    CallRefusal::unknown(502, "target-error", message)
+}
+
+/// Returns the refusal of a body found too long after a part of it was sent.
+fn over_limit_midway(call: &RoutedCall, fate: AttemptFate) -> CallRefusal {
+    let refusal = over_limit(call);
+    match fate {
+        AttemptFate::NotRun => refusal,
+        AttemptFate::Unknown | AttemptFate::ServerError => CallRefusal {
+            outcome: CallOutcome::Unknown,
+            ..refusal
+        },
+    }
+}
+
+/// Returns the refusal for the caller, which must cover all attempts and not only the last one.
+fn refuse(refusal: CallRefusal, history: &AttemptHistory) -> AttemptOutcome {
+    if refusal.outcome != CallOutcome::NotRun || !history.may_have_run {
+        return AttemptOutcome::Refused(refusal);
+    }
+    AttemptOutcome::Refused(CallRefusal {
+        status: 502,
+        outcome: CallOutcome::Unknown,
+        contract_line: None,
+        ..refusal
+    })
+}
+
+fn no_target(call: &RoutedCall) -> CallRefusal {
+    let message = format!("choose a target of {}: none is available", call.key);
+    CallRefusal::not_run(503, "no-target", message)
+}
+
+fn choose(
+    context: &CallContext,
+    call: &RoutedCall,
+    draw: u32,
+    history: &AttemptHistory,
+) -> Option<AttemptChoice> {
+    let targets = context.board.members.lock().targets_of(&call.key);
+    let vetoed = context.board.vetoes.lock().against(&call.split).is_some();
+    let version = choose_version(&call.split, vetoed, draw);
+    if let Some(target) = choose_of_version(context, call, &version, &targets, history) {
+        return Some(AttemptChoice { version, target });
+    }
+    let version = fallback_version(&call.split, vetoed, &version)?;
+    let target = choose_of_version(context, call, &version, &targets, history)?;
+    Some(AttemptChoice { version, target })
+}
+
+fn choose_of_version(
+    context: &CallContext,
+    call: &RoutedCall,
+    version: &VersionChoice,
+    targets: &[TargetEndpoint],
+    history: &AttemptHistory,
+) -> Option<TargetChoice> {
+    let mut candidates: Vec<TargetEndpoint> = targets
+        .iter()
+        .filter(|target| target.version == version.version)
+        .cloned()
+        .collect();
+    if version.version != call.split.stable {
+        candidates = concentrate(candidates, call.split.candidate_permille);
+    }
+    choose_target(
+        &candidates,
+        &context.board.loads.lock(),
+        &context.settings.node.failure_domain,
+        &history.tried,
+        Instant::now(),
+        &mut rand::rng(),
+    )
+}
+
+fn report_choice(
+    context: &CallContext,
+    call: &RoutedCall,
+    choice: &AttemptChoice,
+    history: &AttemptHistory,
+    progress: &mut CallProgress,
+) {
+    progress.note_attempt(&choice.version.version, &choice.target.target.node);
+    let decision = RouteDecision {
+        call: progress.number(),
+        attempt: history.attempts,
+        config_version: call.config_version,
+        key: call.key.clone(),
+        route: call.route.name.clone(),
+        version: choice.version.version.clone(),
+        version_reason: choice.version.reason,
+        node: choice.target.target.node.clone(),
+        target_reason: choice.target.reason,
+        passed_over: choice.target.passed_over.clone(),
+        retried_after: history.last_reason.clone(),
+    };
+    (context.hooks.on_route)(&decision);
+}
+
+/// Counts an attempt in the load table from its start to the end of the answer's body.
+#[derive(Debug)]
+pub struct LoadGuard {
+    context: Arc<CallContext>,
+    node: NodeId,
+    started: Instant,
+    ended: bool,
+}
+
+impl LoadGuard {
+    fn new(context: Arc<CallContext>, node: &NodeId) -> Self {
+        context.board.loads.lock().begin(node);
+        Self {
+            context,
+            node: node.clone(),
+            started: Instant::now(),
+            ended: false,
+        }
+    }
+
+    fn note(&mut self, end: AttemptEnd) {
+        let now = Instant::now();
+        self.context.board.loads.lock().note(&self.node, end, now);
+        self.ended = true;
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        let mut loads = self.context.board.loads.lock();
+        if !self.ended {
+            loads.note(&self.node, AttemptEnd::Cancelled, Instant::now());
+        }
+        loads.release(&self.node);
+    }
+}
+
+/// One attempt at one target.
+struct Attempt<'a> {
+    context: &'a Arc<CallContext>,
+    call: &'a RoutedCall,
+    head: &'a Parts,
+    choice: &'a AttemptChoice,
+}
+
+impl Attempt<'_> {
+    async fn run(
+        &self,
+        body: ExchangeBody,
+        progress: &mut CallProgress,
+    ) -> Result<Response<ExchangeBody>, CallRefusal> {
+        let node = &self.choice.target.target.node;
+        let mut guard = LoadGuard::new(self.context.clone(), node);
+        let cancel = CancellationToken::new();
+        let body = GuardedBody::new(body, &cancel, self.call.deadline, ()).boxed_unsync();
+        let request = self.request(body)?;
+        let cancel = cancel.drop_guard();
+        let sent = timeout_at(self.call.deadline.into(), self.send(request)).await;
+        let answered = sent.unwrap_or_else(|_| Err(self.late()));
+        guard.note(attempt_end(&answered, guard.started));
+        if answered.is_ok() {
+            progress.hold(AnswerHold {
+                _load: guard,
+                cancel: Some(cancel),
+            });
+        }
+        answered
+    }
+
+    fn request(&self, body: ExchangeBody) -> Result<Request<ExchangeBody>, CallRefusal> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.head.headers.clone();
+        *request.version_mut() = Version::HTTP_11;
+        strip_headers(request.headers_mut());
+        let invalid = || CallRefusal::not_run(400, "invalid-host", "check request: invalid host");
+        let host = HeaderValue::from_str(&self.call.host).map_err(|_| invalid())?;
+        request.headers_mut().insert(HOST, host);
+        Ok(request)
+    }
+
+    async fn send(
+        &self,
+        request: Request<ExchangeBody>,
+    ) -> Result<Response<ExchangeBody>, CallRefusal> {
+        let target = &self.choice.target.target;
+        let hop = HopRecord {
+            key: self.call.key.clone(),
+            version: self.choice.version.version.clone(),
+            route: self.call.route.name.clone(),
+        };
+        if target.node == self.context.settings.node.id {
+            let call = TargetCall {
+                hop,
+                started: Instant::now(),
+                deadline: Some(self.call.deadline),
+            };
+            return exchange_here(self.context, call, request).await;
+        }
+        self.forward(request, hop).await
+    }
+
+    async fn forward(
+        &self,
+        mut request: Request<ExchangeBody>,
+        hop: HopRecord,
+    ) -> Result<Response<ExchangeBody>, CallRefusal> {
+        let target = &self.choice.target.target;
+        let peer = format!("node {} at {}", target.node, target.forward_address);
+        let value = hop.header_value().ok_or_else(|| {
+            let message = format!("forward to {peer}: a name is not valid in a header");
+            CallRefusal::not_run(503, "invalid-name", message)
+        })?;
+        request.headers_mut().insert(HOP_HEADER, value);
+        let remaining = self.call.deadline.saturating_duration_since(Instant::now());
+        set_timeout(request.headers_mut(), remaining);
+        *request.uri_mut() = peer_uri(target.forward_address, self.head.uri.path_and_query());
+        let answered = self.context.client.request(request).await;
+        let mut answer = answered.map_err(|error| {
+            let error = exchange_error(&error, &peer);
+            match (error.fate, error.stale) {
+                (AttemptFate::NotRun, true) => {
+                    CallRefusal::not_run(503, "stale-connection", error.to_string())
+                }
+                (AttemptFate::NotRun, false) => {
+                    CallRefusal::not_run(503, "node-unreachable", error.to_string())
+                }
+                _ => CallRefusal::unknown(502, "node-broke-off", error.to_string()),
+            }
+        })?;
+        if let Some(refusal) = parse_refusal(answer.status(), answer.headers(), &target.node) {
+            return Err(refusal);
+        }
+        strip_headers(answer.headers_mut());
+        Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync()))
+    }
+
+    fn late(&self) -> CallRefusal {
+        let peer = &self.choice.target.target.node;
+        let message = format!("exchange with node {peer}: the deadline passed before an answer");
+        let refusal = CallRefusal::unknown(504, "deadline", message);
+        match self.call.deadline_is_routes {
+            true => refusal.at_line(&self.call.key.customer, self.call.route.deadline_line),
+            false => refusal,
+        }
+    }
+}
+
+/// Load and upload of an attempt whose answer is on its way to the caller.
+#[derive(Debug)]
+pub struct AnswerHold {
+    _load: LoadGuard,
+    cancel: Option<DropGuard>,
+}
+
+impl AnswerHold {
+    /// Lets an upload that is still in progress go on after a whole answer.
+    pub fn keep_upload(&mut self) {
+        if let Some(cancel) = self.cancel.take() {
+            cancel.disarm();
+        }
+    }
+}
+
+/// Returns what the end of an attempt says about the target.
+fn attempt_end(
+    answered: &Result<Response<ExchangeBody>, CallRefusal>,
+    started: Instant,
+) -> AttemptEnd {
+    let elapsed = started.elapsed();
+    let Err(refusal) = answered else {
+        return AttemptEnd::Answered(elapsed);
+    };
+    match (refusal.outcome, refusal.reason.as_ref()) {
+        (_, "deadline") if elapsed < SILENCE_LIMIT => AttemptEnd::Answered(elapsed),
+        (CallOutcome::NotRun, "queue-full" | "no-slot" | "rate-limit" | "concurrency-limit") => {
+            AttemptEnd::Saturated
+        }
+        (CallOutcome::NotRun, "stale-connection" | "route-unknown-here" | "deadline") => {
+            AttemptEnd::Cancelled
+        }
+        (CallOutcome::NotRun, _) => AttemptEnd::Unavailable,
+        (CallOutcome::Unknown | CallOutcome::Failed, _) => AttemptEnd::Lost,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod admin_api;
 pub mod apply_gate;
 pub mod blackboard;
+pub mod call_events;
 pub mod call_evidence;
 pub mod call_proxy;
 pub mod config;
--- a/src/route_table.rs
+++ b/src/route_table.rs
@@ -34,14 +34,15 @@
 /// Time without failures after which the count of failures in a row starts anew.
 const FAILURE_MEMORY: Duration = Duration::from_secs(60);
 
-/// Returns the service and route of a call, by host and the longest matching path prefix.
+/// Returns the service and route of a call, by host and the longest matching path prefix; `path` is
+/// without the query.
 pub fn find_route<'a>(
     snapshot: &'a ConfigSnapshot,
     host: &str,
     method: &str,
     path: &str,
 ) -> Option<(&'a ServiceSpec, &'a RouteSpec)> {
-    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let name = host_name(host);
     let spec = snapshot
         .services()
         .find(|spec| spec.host.eq_ignore_ascii_case(name))?;
@@ -54,10 +55,33 @@
     Some((spec, route))
 }
 
+/// Returns a host without its port; the colons of a bracketed IPv6 address belong to the host.
+fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if !port.contains(']') => name,
+        _ => host,
+    }
+}
+
+/// Returns whether a path could be read by a target as one outside of its literal prefix.
+///
+/// Targets differ in how they resolve dot segments and encoded separators, so a path with a dot segment
+/// under any reading would run under the rules of one route as a call of another.
+pub fn is_ambiguous_path(path: &str) -> bool {
+    let decoded = path
+        .to_ascii_lowercase()
+        .replace("%2e", ".")
+        .replace("%2f", "/")
+        .replace("%5c", "\\")
+        .replace("%25", "%");
+    let mut segments = decoded.split(['/', '\\']);
+    segments.any(|segment| matches!(segment.split(';').next(), Some("." | "..")))
+}
+
 fn is_path_prefix(prefix: &str, path: &str) -> bool {
     let trimmed = prefix.trim_end_matches('/');
     match path.strip_prefix(trimmed) {
-        Some(rest) => rest.is_empty() || rest.starts_with('/') || rest.starts_with('?'),
+        Some(rest) => rest.is_empty() || rest.starts_with('/'),
         None => false,
     }
 }
@@ -113,6 +137,30 @@
     }
 }
 
+/// Share from which a candidate may also serve the calls of a stable version without targets.
+///
+/// Below it the candidate is unproven, and refusing is better than exposing every caller to it.
+const PROVEN_SHARE_PERMILLE: u32 = 500;
+
+/// Returns the version to use when the chosen one has no target left; none if there is no other.
+pub fn fallback_version(
+    split: &TrafficSplit,
+    vetoed: bool,
+    chosen: &VersionChoice,
+) -> Option<VersionChoice> {
+    let version = match &split.current_move {
+        _ if chosen.version != split.stable => &split.stable,
+        Some(current) if !vetoed && split.candidate_permille >= PROVEN_SHARE_PERMILLE => {
+            &current.candidate
+        }
+        _ => return None,
+    };
+    Some(VersionChoice {
+        version: version.clone(),
+        reason: VersionReason::OtherUnavailable,
+    })
+}
+
 /// Restricts candidate targets so that each of those left sees a realistic load.
 ///
 /// The first `ceil(share * n)` targets in an order fixed by their names receive the candidate's calls.
@@ -153,11 +201,13 @@
     Unavailable,
     /// The fate of the call is unknown.
     Lost,
+    /// The caller went away first; this says nothing about the target.
+    Cancelled,
 }
 
 /// Loads of targets as seen by this node's own calls.
 ///
-/// Invariant: `in_flight` of a target equals the attempts begun and not yet ended.
+/// Invariant: `in_flight` of a target equals the attempts begun and not yet released.
 #[derive(Debug, Default)]
 pub struct LoadTable {
     loads: HashMap<NodeId, TargetLoad>,
@@ -169,13 +219,19 @@
         self.loads.entry(node.to_owned()).or_default().in_flight += 1;
     }
 
-    /// Counts an attempt as ended.
-    pub fn end(&mut self, node: &str, end: AttemptEnd, now: Instant) {
+    /// Counts an attempt as ended, after the whole answer or a refusal.
+    pub fn release(&mut self, node: &str) {
+        if let Some(load) = self.loads.get_mut(node) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes what an attempt says about its target.
+    pub fn note(&mut self, node: &str, end: AttemptEnd, now: Instant) {
         let load = self.loads.entry(node.to_owned()).or_default();
-        load.in_flight = load.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Answered(latency) => record_answer(load, latency),
-            AttemptEnd::Saturated => {}
+            AttemptEnd::Saturated | AttemptEnd::Cancelled => {}
             AttemptEnd::Unavailable | AttemptEnd::Lost => eject(load, now),
         }
     }
@@ -217,12 +273,17 @@
     } else {
         load.latency_ms + LATENCY_WEIGHT * (sample - load.latency_ms)
     };
-    load.failures_in_row = 0;
     load.ejected_until = None;
 }
 
 /// Pauses calls to a failed target. A target that fails again soon after a pause waits twice as long.
+///
+/// Answers in between do not shorten the next pause, or a flapping target would always get the first
+/// one. Calls that fail together count as one failure.
 fn eject(load: &mut TargetLoad, now: Instant) {
+    if load.ejected_until.is_some_and(|until| now < until) {
+        return;
+    }
     let recent = load
         .last_failure
         .is_some_and(|last| now.duration_since(last) < FAILURE_MEMORY);
--- /dev/null
+++ b/src/target_client/connector.rs
@@ -0,0 +1,130 @@
+//! TCP connections of a bounded number.
+
+use {
+    crate::slot_gate::{PermitPool, PoolPermit},
+    futures::future::BoxFuture,
+    http::Uri,
+    hyper::rt::{Read, ReadBufCursor, Write},
+    hyper_util::{
+        client::legacy::connect::{Connected, Connection},
+        rt::TokioIo,
+    },
+    std::{
+        io::{Error, ErrorKind, IoSlice},
+        net::SocketAddr,
+        pin::Pin,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::{net::TcpStream, time::timeout},
+    tower_service::Service,
+};
+
+/// Opens connections to one target, at most as many at once as the target announced.
+#[derive(Clone, Debug)]
+pub struct BoundedConnector {
+    address: SocketAddr,
+    connections: PermitPool,
+    connect_timeout: Duration,
+}
+
+impl BoundedConnector {
+    /// Returns a connector to one address.
+    pub fn new(address: SocketAddr, connections: PermitPool, connect_timeout: Duration) -> Self {
+        Self {
+            address,
+            connections,
+            connect_timeout,
+        }
+    }
+
+    async fn connect(self) -> Result<BoundedStream, Error> {
+        let permit = self.connections.take().await;
+        let permit = permit.ok_or_else(|| Error::other("the connection pool is closed"))?;
+        let connected = timeout(self.connect_timeout, TcpStream::connect(self.address)).await;
+        let stream = connected.map_err(|_| Error::from(ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        Ok(BoundedStream {
+            inner: TokioIo::new(stream),
+            permit: Some(permit),
+        })
+    }
+}
+
+impl Service<Uri> for BoundedConnector {
+    type Response = BoundedStream;
+    type Error = Error;
+    type Future = BoxFuture<'static, Result<BoundedStream, Error>>;
+
+    fn poll_ready(&mut self, _context: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _uri: Uri) -> Self::Future {
+        Box::pin(self.clone().connect())
+    }
+}
+
+/// A connection that counts against the number that the target accepts.
+#[derive(Debug)]
+pub struct BoundedStream {
+    inner: TokioIo<TcpStream>,
+    permit: Option<PoolPermit>,
+}
+
+impl Drop for BoundedStream {
+    fn drop(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            permit.release_later();
+        }
+    }
+}
+
+impl Connection for BoundedStream {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
+impl Read for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl Write for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize, Error>> {
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize, Error>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+    }
+}
