--- a/experiments/src/limits.rs
+++ b/experiments/src/limits.rs
@@ -8,7 +8,7 @@
     crate::figure::{MeasuredFigure, print_figure},
     poplarwing::{
         config::{CallLimits, ContractLimit},
-        limit_share::{LimitScope, LimitTable},
+        limit_share::{LimitScope, LimitTable, NodeDemand},
     },
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -31,6 +31,9 @@
 /// Time until the other nodes know a node's demand.
 const VIEW_DELAY: Duration = Duration::from_secs(3);
 
+/// Time over which a node measures its demand.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+
 /// Seeds that the constants of `limit_share` were not chosen with.
 const REPORT_SEEDS: [u64; 3] = [101, 102, 103];
 
@@ -136,12 +139,12 @@
         let node = draw_node(&weights, &mut rng);
         arrivals[node].push_back(now);
         take_sample(&mut samples, &mut arrivals, now);
-        let scope = scope_of(way, node, nodes, &samples, now);
         let own_demand = arrivals[node].len() as u32;
+        let scope = scope_of(way, node, nodes, &samples, now, own_demand);
         drop_before(&mut admitted, now);
         counts.calls += 1;
         let scopes = [scope];
-        match tables[node].admit(&scopes, own_demand, start + now) {
+        match tables[node].admit(&scopes, start + now) {
             Ok(()) => {
                 tables[node].release([scopes[0].name.as_str()]);
                 admitted.push_back(now);
@@ -177,7 +180,7 @@
 fn drop_before(times: &mut VecDeque<Duration>, now: Duration) {
     while times
         .front()
-        .is_some_and(|first| now - *first > Duration::from_secs(1))
+        .is_some_and(|first| now - *first > DEMAND_WINDOW)
     {
         times.pop_front();
     }
@@ -209,28 +212,35 @@
     nodes: usize,
     samples: &VecDeque<DemandSample>,
     now: Duration,
+    own_demand: u32,
 ) -> LimitScope {
     let known = samples
         .front()
         .filter(|sample| now - sample.at >= VIEW_DELAY);
-    let other_demands = match way {
-        DivisionWay::WholeLimitEach | DivisionWay::FixedDivision => Vec::new(),
-        DivisionWay::FollowDemand => (0..nodes)
-            .filter(|other| *other != node)
-            .map(|other| known.map_or(0, |sample| sample.demands[other]))
-            .collect(),
+    let demand_of = |other: usize| match known {
+        _ if other == node => own_demand.max(1),
+        // A node tells no demand until it has measured it over a whole window.
+        Some(sample) if sample.at >= DEMAND_WINDOW => sample.demands[other].max(1),
+        _ => 0,
+    };
+    let sharers: Vec<usize> = match way {
+        DivisionWay::FollowDemand => (0..nodes).collect(),
+        DivisionWay::WholeLimitEach | DivisionWay::FixedDivision => vec![node],
     };
+    let demands: Vec<NodeDemand> = sharers
+        .into_iter()
+        .map(|other| NodeDemand {
+            node: other.to_string(),
+            demand: demand_of(other),
+        })
+        .collect();
     let value = match way {
         DivisionWay::FixedDivision => LIMIT_RATE / nodes as u64,
         _ => LIMIT_RATE,
     };
-    let rate = Some(ContractLimit { value, line: 1 });
-    LimitScope {
-        name: "customer".to_owned(),
-        limits: CallLimits {
-            rate,
-            concurrency: None,
-        },
-        other_demands,
-    }
+    let limits = CallLimits {
+        rate: Some(ContractLimit { value, line: 1 }),
+        concurrency: None,
+    };
+    LimitScope::new("customer".to_owned(), limits, &node.to_string(), &demands)
 }
--- a/src/active_config.rs
+++ b/src/active_config.rs
@@ -3,7 +3,7 @@
 use {
     crate::config::{ConfigResource, ConfigSnapshot, RouteSpec, ServiceSpec},
     derive_more::Deref,
-    std::collections::HashMap,
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// A configuration in force.
@@ -13,8 +13,8 @@
 /// with their number.
 #[derive(Debug, Default, Deref)]
 pub struct ActiveConfig {
-    #[deref]
-    snapshot: ConfigSnapshot,
+    #[deref(forward)]
+    snapshot: Arc<ConfigSnapshot>,
     services_by_host: HashMap<String, String>,
 }
 
@@ -30,7 +30,7 @@
             })
             .collect();
         Self {
-            snapshot,
+            snapshot: Arc::new(snapshot),
             services_by_host,
         }
     }
@@ -38,21 +38,22 @@
 
 impl ActiveConfig {
     /// Returns the configuration without its index.
-    pub fn snapshot(&self) -> &ConfigSnapshot {
-        &self.snapshot
+    pub fn snapshot(&self) -> Arc<ConfigSnapshot> {
+        self.snapshot.clone()
     }
 
     /// Returns the service that callers reach under a host name, with or without a port.
     pub fn service_of_host(&self, host: &str) -> Option<&ServiceSpec> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let resource = self.services_by_host.get(&name.to_ascii_lowercase())?;
+        let name = host_name(host).to_ascii_lowercase();
+        let resource = self.services_by_host.get(&name)?;
         match &self.snapshot.resources.get(resource)?.resource {
             ConfigResource::Service(spec) => Some(spec),
             _ => None,
         }
     }
 
-    /// Returns the service and route of a call: by host, method and the longest matching path prefix.
+    /// Returns the service and route of a call: by host, method and the longest matching path prefix;
+    /// `path` is without the query.
     pub fn find_route(
         &self,
         host: &str,
@@ -70,6 +71,14 @@
     }
 }
 
+/// Returns a host without its port; the colons of a bracketed IPv6 address belong to the host.
+fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if !port.contains(']') => name,
+        _ => host,
+    }
+}
+
 fn accepts_method(route: &RouteSpec, method: &str) -> bool {
     route.methods.is_empty() || route.methods.iter().any(|accepted| accepted == method)
 }
@@ -77,7 +86,7 @@
 fn is_path_prefix(prefix: &str, path: &str) -> bool {
     let trimmed = prefix.trim_end_matches('/');
     match path.strip_prefix(trimmed) {
-        Some(rest) => rest.is_empty() || rest.starts_with('/') || rest.starts_with('?'),
+        Some(rest) => rest.is_empty() || rest.starts_with('/'),
         None => false,
     }
 }
--- a/src/apply_gate.rs
+++ b/src/apply_gate.rs
@@ -97,7 +97,12 @@
 
 impl ApplyGate {
     /// Returns the configuration in force; version 0 means none yet.
-    pub fn current(&self) -> Arc<ActiveConfig> {
+    pub fn current(&self) -> Arc<ConfigSnapshot> {
+        self.current.load().snapshot()
+    }
+
+    /// Returns the configuration in force with its index.
+    pub fn active(&self) -> Arc<ActiveConfig> {
         self.current.load_full()
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admin_api;
 pub mod apply_gate;
 pub mod blackboard;
+pub mod call_events;
 pub mod call_evidence;
 pub mod call_proxy;
 pub mod config;
