Test the platform clients and the leases under failures

Cause: the claims of both modules about lost answers, pauses and clock jumps were untested. Change: tests against the stand-in; two properties over generated steps with fixed seeds. Conclusion: the fencing token refuses the earlier holder in all generated cases.

--- /dev/null
+++ b/tests/store_lease.rs
@@ -0,0 +1,304 @@
+//! Leases under pauses, clock jumps and lost answers.
+
+use {
+    bolero::generator::bolero_generator::{TypeGenerator, produce},
+    poplarwing::{
+        config::ServiceKey,
+        config_store::{ChangeAuthor, CommitError, ConfigStore},
+        lease::{LeaseKeeper, LeaseName, LeaseProof, LeaseState},
+        platform_store::{PlatformStore, TransactOutcome},
+    },
+    poplarwing_standins::platform::PlatformStandin,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    support::store::{cases, customer_change, start_platform, store_of, write_faults},
+};
+
+mod support {
+    pub mod store;
+}
+
+const TIME_TO_LIVE: Duration = Duration::from_secs(9);
+
+/// Interval of the keepers' steps.
+const STEP: Duration = Duration::from_secs(1);
+
+/// Cases of each property.
+const CASES: u64 = 60;
+
+fn lease_name() -> LeaseName {
+    LeaseName::Move(ServiceKey {
+        customer: "kestrel".to_owned(),
+        service: "ledger".to_owned(),
+    })
+}
+
+fn keeper(store: &PlatformStore, holder: &str) -> LeaseKeeper {
+    LeaseKeeper::new(store.clone(), lease_name(), holder.to_owned(), TIME_TO_LIVE)
+}
+
+/// Steps a keeper every second until it holds the lease; returns the time that it took.
+async fn take_over(keeper: &mut LeaseKeeper, from: Instant) -> Duration {
+    let mut waited = Duration::ZERO;
+    while !matches!(
+        keeper.step(from + waited).await.unwrap(),
+        LeaseState::Held(_)
+    ) {
+        waited += STEP;
+        assert!(waited < 3 * TIME_TO_LIVE, "the lease was never taken over");
+    }
+    waited
+}
+
+/// Guards against two controllers of one move: the paused one must fail by its fencing token.
+#[tokio::test]
+async fn a_paused_holder_cannot_commit() {
+    let platform = start_platform().await;
+    let store = store_of(&platform);
+    let config = ConfigStore::new(store.clone());
+    let (mut paused, mut rival) = (keeper(&store, "node-a"), keeper(&store, "node-b"));
+    let begin = Instant::now();
+    paused.step(begin).await.unwrap();
+    let proof = paused.proof(begin).unwrap();
+
+    take_over(&mut rival, begin + STEP).await;
+    let mut change = customer_change(Arc::default(), "kestrel", 10);
+    change.author = ChangeAuthor::Controller {
+        node: "node-a".to_owned(),
+        lease: proof,
+    };
+    let outcome = config.commit(change).await;
+
+    assert!(
+        matches!(outcome, Err(CommitError::LeaseLost { .. })),
+        "{outcome:?}"
+    );
+    assert_eq!(config.head().await.unwrap().version, 0);
+    assert_eq!(paused.proof(begin + TIME_TO_LIVE), None);
+}
+
+#[tokio::test]
+async fn the_holder_of_a_lease_can_commit() {
+    let platform = start_platform().await;
+    let store = store_of(&platform);
+    let mut holder = keeper(&store, "node-a");
+    let begin = Instant::now();
+    holder.step(begin).await.unwrap();
+    holder.step(begin + TIME_TO_LIVE / 2).await.unwrap();
+
+    let mut change = customer_change(Arc::default(), "kestrel", 10);
+    change.author = ChangeAuthor::Controller {
+        node: "node-a".to_owned(),
+        lease: holder.proof(begin + TIME_TO_LIVE).unwrap(),
+    };
+
+    assert_eq!(
+        ConfigStore::new(store)
+            .commit(change)
+            .await
+            .unwrap()
+            .version,
+        1
+    );
+}
+
+/// Guards against a contender that takes over before the time to live has passed, or much later.
+#[tokio::test]
+async fn a_contender_waits_for_the_time_to_live() {
+    let platform = start_platform().await;
+    let store = store_of(&platform);
+    let begin = Instant::now();
+    keeper(&store, "node-a").step(begin).await.unwrap();
+
+    let waited = take_over(&mut keeper(&store, "node-b"), begin).await;
+
+    assert_eq!(waited, TIME_TO_LIVE + STEP);
+}
+
+/// Guards against a contender whose clock jumps, or that was paused, counting that time as waiting.
+#[tokio::test]
+async fn a_jump_of_the_contenders_clock_does_not_end_a_lease() {
+    let platform = start_platform().await;
+    let store = store_of(&platform);
+    let begin = Instant::now();
+    keeper(&store, "node-a").step(begin).await.unwrap();
+    let mut contender = keeper(&store, "node-b");
+
+    contender.step(begin).await.unwrap();
+    contender.step(begin + STEP).await.unwrap();
+    let state = contender.step(begin + 100 * TIME_TO_LIVE).await.unwrap();
+
+    assert!(matches!(state, LeaseState::Observed { .. }), "{state}");
+}
+
+/// Guards against a released lease blocking its successors, and against a token that starts again.
+#[tokio::test]
+async fn a_released_lease_is_free_at_once_and_its_token_grows() {
+    let platform = start_platform().await;
+    let store = store_of(&platform);
+    let (mut first, mut second) = (keeper(&store, "node-a"), keeper(&store, "node-b"));
+    let begin = Instant::now();
+    first.step(begin).await.unwrap();
+    let before = first.proof(begin).unwrap();
+
+    first.release().await.unwrap();
+    second.step(begin).await.unwrap();
+
+    assert_eq!(first.proof(begin), None);
+    assert!(second.proof(begin).unwrap().token > before.token);
+}
+
+/// Guards against the holder waiting out its own lease after a renewal without answer.
+#[tokio::test]
+async fn a_lost_answer_to_a_renewal_is_settled_by_reading() {
+    let platform = start_platform().await;
+    let store = store_of(&platform);
+    let mut holder = keeper(&store, "node-a");
+    let begin = Instant::now();
+    holder.step(begin).await.unwrap();
+
+    platform.set_faults(write_faults(1, 0));
+    holder.step(begin + TIME_TO_LIVE / 3).await.unwrap_err();
+    let uncertain = holder.proof(begin + TIME_TO_LIVE / 3);
+    let state = holder.step(begin + TIME_TO_LIVE / 2).await.unwrap();
+
+    assert_eq!(uncertain, None);
+    assert!(matches!(state, LeaseState::Held(_)), "{state}");
+}
+
+/// One step of one of two keepers.
+#[derive(Clone, Debug, TypeGenerator)]
+struct KeeperMove {
+    second: bool,
+    advance_quarters: u8,
+    clock: u8,
+    fault: u8,
+}
+
+/// Two keepers of one lease, each with its own clock.
+struct LeaseRace {
+    platform: PlatformStandin,
+    store: PlatformStore,
+    keepers: [LeaseKeeper; 2],
+    clocks: [Instant; 2],
+    stopped: [bool; 2],
+    takeovers: u32,
+    checks: u32,
+    last: Option<LeaseProof>,
+}
+
+impl LeaseRace {
+    async fn start() -> Self {
+        let platform = start_platform().await;
+        let store = store_of(&platform);
+        Self {
+            keepers: [keeper(&store, "node-a"), keeper(&store, "node-b")],
+            clocks: [Instant::now(); 2],
+            stopped: [false; 2],
+            takeovers: 0,
+            checks: 0,
+            last: None,
+            platform,
+            store,
+        }
+    }
+
+    /// Makes a clock stop, as in a suspended VM, go on, or jump ahead.
+    fn disturb(&mut self, step: &KeeperMove) {
+        let index = usize::from(step.second);
+        match step.clock {
+            0..32 => self.stopped[index] = !self.stopped[index],
+            32..48 => self.clocks[index] += TIME_TO_LIVE * u32::from(step.clock),
+            _ => {}
+        }
+    }
+
+    /// Steps one keeper; returns its proof if it then believes that it holds the lease.
+    async fn step(&mut self, step: &KeeperMove) -> Option<LeaseProof> {
+        let index = usize::from(step.second);
+        let elapsed = Duration::from_millis(250) * u32::from(step.advance_quarters % 16);
+        for (clock, stopped) in self.clocks.iter_mut().zip(self.stopped) {
+            *clock += if stopped { Duration::ZERO } else { elapsed };
+        }
+        match step.fault {
+            0..32 => self.platform.set_faults(write_faults(1, 0)),
+            32..64 => self.platform.set_faults(write_faults(0, 1)),
+            _ => {}
+        }
+        match self.keepers[index].step(self.clocks[index]).await {
+            Ok(LeaseState::Held(proof)) => Some(proof),
+            // An error leaves the keeper without a proof or with its earlier one; both are checked later.
+            _ => None,
+        }
+    }
+
+    /// Checks that the token grows whenever the holder changes.
+    fn note(&mut self, proof: LeaseProof) {
+        if let Some(last) = &self.last
+            && last.holder != proof.holder
+        {
+            assert!(last.token < proof.token, "{last} before {proof}");
+            self.takeovers += 1;
+        }
+        self.last = Some(proof);
+    }
+
+    fn proofs(&self) -> Vec<LeaseProof> {
+        let pairs = self.keepers.iter().zip(self.clocks);
+        pairs
+            .filter_map(|(keeper, clock)| keeper.proof(clock))
+            .collect()
+    }
+
+    async fn accepts(&mut self, proof: &LeaseProof) -> bool {
+        // The table answers a request token that it has seen without checking the condition again.
+        self.checks += 1;
+        let token = format!("check-{}", self.checks);
+        let outcome = self.store.transact(vec![proof.check()], &token).await;
+        matches!(outcome, Ok(TransactOutcome::Applied))
+    }
+}
+
+/// Guards against two holders at one moment while clocks run evenly, whatever answers are lost.
+#[tokio::test]
+async fn two_keepers_never_hold_a_lease_at_once() {
+    let mut takeovers = 0;
+    for steps in cases(produce::<Vec<KeeperMove>>(), CASES) {
+        let mut race = LeaseRace::start().await;
+        for step in &steps {
+            if let Some(proof) = race.step(step).await {
+                race.note(proof);
+            }
+            assert!(race.proofs().len() < 2, "two holders in {steps:?}");
+        }
+        takeovers += race.takeovers;
+    }
+    assert!(takeovers > 0, "no case had a change of the holder");
+}
+
+/// Guards against both writes passing when clocks stop or jump and both keepers trust their lease.
+#[tokio::test]
+async fn the_table_accepts_one_holder_when_clocks_stop_or_jump() {
+    let mut doubles = 0;
+    for steps in cases(produce::<Vec<KeeperMove>>(), CASES) {
+        let mut race = LeaseRace::start().await;
+        for step in &steps {
+            race.disturb(step);
+            race.step(step).await;
+            race.platform.set_faults(write_faults(0, 0));
+            let proofs = race.proofs();
+            let mut accepted = 0;
+            for proof in &proofs {
+                accepted += u32::from(race.accepts(proof).await);
+            }
+            assert!(accepted < 2, "{proofs:?} in {steps:?}");
+            doubles += u32::from(proofs.len() == 2);
+        }
+    }
+    assert!(
+        doubles > 0,
+        "no case had two keepers that trusted their lease"
+    );
+}
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -4,14 +4,25 @@
 #![allow(dead_code)]
 
 use {
+    bolero::generator::bolero_generator::{
+        ValueGenerator,
+        driver::{Options, Rng},
+    },
     poplarwing::{
         config::{CallLimits, ConfigSnapshot, ContractLimit, CustomerSpec},
         config_store::{ChangeAuthor, ConfigChange},
         platform_store::PlatformStore,
-        settings::PlatformSection,
+        settings::{GossipSection, LogSection, NodeSection, NodeSettings, PlatformSection},
+    },
+    poplarwing_standins::platform::{FaultPlan, PlatformStandin},
+    rand::{SeedableRng, rngs::StdRng},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
     },
-    poplarwing_standins::platform::PlatformStandin,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::sleep,
 };
 
 pub fn any_port() -> SocketAddr {
@@ -36,6 +47,34 @@
     }
 }
 
+/// Returns the settings of a node in failure domain welshpool that uses this platform.
+pub fn settings_of(platform: &PlatformStandin, node: &str) -> NodeSettings {
+    NodeSettings {
+        node: NodeSection {
+            id: node.to_owned(),
+            region: "wa-south".to_owned(),
+            failure_domain: "welshpool".to_owned(),
+            call_address: any_port(),
+            forward_address: any_port(),
+            peer_address: any_port(),
+            admin_address: any_port(),
+        },
+        platform: section_of(platform.endpoint()),
+        gossip: GossipSection {
+            seeds: Vec::new(),
+            probe_interval: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(300),
+            push_fanout: 4,
+            join_quorum: 3,
+        },
+        log: LogSection {
+            level: "info".to_owned(),
+            call_sample_permille: 10,
+        },
+        operators: BTreeMap::new(),
+    }
+}
+
 pub fn store_of(platform: &PlatformStandin) -> PlatformStore {
     PlatformStore::connect(&section_of(platform.endpoint())).unwrap()
 }
@@ -61,3 +100,30 @@
         contract: None,
     }
 }
+
+/// Generates values from consecutive seeds, so that every run sees the same cases.
+pub fn cases<G: ValueGenerator>(generator: G, count: u64) -> impl Iterator<Item = G::Output> {
+    let options = Options::default();
+    (0..count).map(move |seed| {
+        let mut driver = Rng::new(StdRng::seed_from_u64(seed), &options);
+        generator.generate(&mut driver).unwrap()
+    })
+}
+
+/// Waits for a condition with a limit that only a hang exceeds.
+pub async fn eventually(mut condition: impl AsyncFnMut() -> bool) {
+    let limit = Instant::now() + Duration::from_secs(60);
+    while !condition().await {
+        assert!(Instant::now() < limit, "the condition never became true");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Returns a plan that loses and drops some of the next table writes.
+pub fn write_faults(lose_table_answers: u32, drop_table_writes: u32) -> FaultPlan {
+    FaultPlan {
+        lose_table_answers,
+        drop_table_writes,
+        ..FaultPlan::default()
+    }
+}
