--- /dev/null
+++ b/tests/store_reader.rs
@@ -0,0 +1,127 @@
+//! Reading the store for a failure domain.
+
+use {
+    poplarwing::{
+        blackboard::Blackboard,
+        config_store::ConfigStore,
+        domain_reader::{DomainReader, READER_PERIOD, READER_TIME_TO_LIVE},
+        membership::{MemberRecord, MemberState},
+    },
+    poplarwing_standins::platform::{FaultPlan, PlatformStandin},
+    std::{sync::Arc, time::Instant},
+    support::store::{any_port, customer_change, settings_of, start_platform, store_of},
+};
+
+mod support {
+    pub mod store;
+}
+
+fn reader_of(platform: &PlatformStandin, node: &str) -> DomainReader {
+    DomainReader::new(&settings_of(platform, node), store_of(platform))
+}
+
+fn board() -> Blackboard {
+    let board = Blackboard::default();
+    board.gate.set_floor(0);
+    board
+}
+
+fn member(node: &str) -> MemberRecord {
+    MemberRecord {
+        node: node.to_owned(),
+        incarnation: 1,
+        sequence: 1,
+        state: MemberState::Alive,
+        domain: "welshpool".to_owned(),
+        peer_address: any_port(),
+        forward_address: any_port(),
+        target: None,
+        applied_version: 0,
+    }
+}
+
+/// Commits versions on top of the newest one.
+async fn commit(config: &ConfigStore, rates: impl IntoIterator<Item = u64>) {
+    for rate in rates {
+        let head = config.head().await.unwrap();
+        let base = Arc::new(config.load(&head).await.unwrap());
+        config
+            .commit(customer_change(base, "kestrel", rate))
+            .await
+            .unwrap();
+    }
+}
+
+/// Guards against a whole snapshot being read for each change.
+#[tokio::test]
+async fn the_holder_puts_newer_versions_in_force_from_their_deltas() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let mut reader = reader_of(&platform, "node-a");
+    let (board, begin) = (board(), Instant::now());
+    commit(&config, [1]).await;
+    reader.step(&board, begin).await.unwrap();
+    commit(&config, [2, 3]).await;
+    let before = platform.counts().object_reads;
+
+    reader.step(&board, begin + READER_PERIOD).await.unwrap();
+
+    assert_eq!(board.gate.version(), 3);
+    assert_eq!(platform.counts().object_reads, before);
+    let head = config.head().await.unwrap();
+    assert_eq!(*board.gate.current(), config.load(&head).await.unwrap());
+}
+
+/// Guards against more than one node of a domain reading the head, and against none after an outage.
+#[tokio::test]
+async fn one_node_reads_and_another_follows_when_it_is_gone() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let (mut first, mut second) = (reader_of(&platform, "a"), reader_of(&platform, "b"));
+    let (first_board, second_board) = (board(), board());
+    let begin = Instant::now();
+    commit(&config, [1]).await;
+    first.step(&first_board, begin).await.unwrap();
+    second.step(&second_board, begin).await.unwrap();
+    assert_eq!(
+        (first_board.gate.version(), second_board.gate.version()),
+        (1, 0)
+    );
+
+    platform.set_faults(FaultPlan {
+        down: true,
+        ..FaultPlan::default()
+    });
+    second
+        .step(&second_board, begin + READER_PERIOD)
+        .await
+        .unwrap_err();
+    platform.set_faults(FaultPlan::default());
+    let mut waited = READER_PERIOD;
+    while second_board.gate.version() == 0 {
+        waited += READER_PERIOD;
+        assert!(waited < 3 * READER_TIME_TO_LIVE, "no node reads the store");
+        second.step(&second_board, begin + waited).await.unwrap();
+    }
+
+    assert!(waited > READER_TIME_TO_LIVE, "took over after {waited:?}");
+}
+
+/// Guards against every node of a large domain contending for the lease.
+#[tokio::test]
+async fn three_nodes_of_a_domain_are_candidates() {
+    let platform = start_platform().await;
+    let nodes: Vec<String> = (0..20).map(|number| format!("node-{number}")).collect();
+    let mut reading = 0;
+    for node in &nodes {
+        let board = board();
+        for other in &nodes {
+            board.members.lock().merge(member(other));
+        }
+        let before = platform.counts().table_reads;
+        let mut reader = reader_of(&platform, node);
+        reader.step(&board, Instant::now()).await.unwrap();
+        reading += u32::from(platform.counts().table_reads > before);
+    }
+    assert_eq!(reading, 3);
+}
