--- /dev/null
+++ b/tests/store_once.rs
@@ -0,0 +1,275 @@
+//! Idempotency records under concurrent calls, lost answers and outages.
+
+use {
+    bolero::generator::bolero_generator::{TypeGenerator, produce},
+    bytes::Bytes,
+    futures::future::join_all,
+    poplarwing::{
+        once_record::{
+            AnswerHeader, MAX_KEPT_ANSWER, OnceAnswer, OnceError, OnceKey, OnceRecorder, OnceStart,
+            OnceState, OnceTicket,
+        },
+        platform_store::{ItemKey, PlatformStore},
+    },
+    poplarwing_standins::platform::{FaultPlan, PlatformStandin},
+    std::{collections::BTreeMap, time::Duration},
+    support::store::{
+        any_port, cases, eventually, section_of, start_platform, store_of, write_faults,
+    },
+};
+
+mod support {
+    pub mod store;
+}
+
+/// More records per second than any test begins.
+const AMPLE: u32 = 1_000_000;
+
+/// Cases of each property.
+const CASES: u64 = 20;
+
+fn call(key: &str) -> OnceKey {
+    OnceKey {
+        customer: "kestrel".to_owned(),
+        service: "ledger".to_owned(),
+        route: "signoff".to_owned(),
+        key: key.to_owned(),
+    }
+}
+
+fn answer(length: usize) -> OnceAnswer {
+    OnceAnswer {
+        status: 201,
+        headers: vec![AnswerHeader {
+            name: "content-type".to_owned(),
+            value: "application/octet-stream".to_owned(),
+        }],
+        body: Some(Bytes::from(vec![0xfe; length])),
+    }
+}
+
+fn recorder_at(platform: &PlatformStandin, node: &str) -> OnceRecorder {
+    OnceRecorder::new(store_of(platform), node.to_owned(), AMPLE)
+}
+
+async fn begin(recorder: &OnceRecorder, key: &str) -> Result<OnceStart, OnceError> {
+    recorder.begin(call(key), "fingerprint".to_owned()).await
+}
+
+async fn run(recorder: &OnceRecorder, key: &str) -> OnceTicket {
+    match begin(recorder, key).await.unwrap() {
+        OnceStart::Run(ticket) => ticket,
+        OnceStart::Repeat(entry) => panic!("expected to run, found {entry:?}"),
+    }
+}
+
+#[tokio::test]
+async fn a_repeat_gets_the_kept_answer() {
+    let platform = start_platform().await;
+    let (first, second) = (recorder_at(&platform, "a"), recorder_at(&platform, "b"));
+    let ticket = run(&first, "key").await;
+    first.finish(ticket, answer(1_000)).await.unwrap();
+
+    let Ok(OnceStart::Repeat(entry)) = begin(&second, "key").await else {
+        panic!("expected a repeat");
+    };
+
+    assert_eq!(
+        (entry.state, entry.node.as_str()),
+        (OnceState::Finished, "a")
+    );
+    assert_eq!(entry.answer, Some(answer(1_000)));
+}
+
+/// Guards against answers that exceed what one item should hold.
+#[tokio::test]
+async fn a_long_answer_is_kept_without_its_body() {
+    let platform = start_platform().await;
+    let recorder = recorder_at(&platform, "a");
+    let ticket = run(&recorder, "key").await;
+    recorder
+        .finish(ticket, answer(MAX_KEPT_ANSWER))
+        .await
+        .unwrap();
+
+    let Ok(OnceStart::Repeat(entry)) = begin(&recorder, "key").await else {
+        panic!("expected a repeat");
+    };
+
+    let kept = entry.answer.unwrap();
+    assert_eq!((kept.status, kept.body), (201, None));
+}
+
+/// Guards against a lost answer turning into "not run" for a key that is then blocked.
+#[tokio::test]
+async fn a_begin_whose_answer_is_lost_runs() {
+    let platform = start_platform().await;
+    let recorder = recorder_at(&platform, "a");
+    platform.set_faults(write_faults(1, 0));
+
+    run(&recorder, "key").await;
+
+    assert_eq!(platform.counts().table_writes, 1);
+}
+
+/// Guards against a finished call that stays "running" because its answers were lost.
+#[tokio::test]
+async fn a_finish_whose_answers_are_lost_is_recorded_once() {
+    let platform = start_platform().await;
+    let recorder = recorder_at(&platform, "a");
+    let ticket = run(&recorder, "key").await;
+    platform.set_faults(write_faults(1, 1));
+
+    recorder.finish(ticket, answer(10)).await.unwrap();
+
+    let Ok(OnceStart::Repeat(entry)) = begin(&recorder, "key").await else {
+        panic!("expected a repeat");
+    };
+    assert_eq!(entry.state, OnceState::Finished);
+}
+
+/// Guards against a call that runs without a record.
+#[tokio::test]
+async fn calls_are_refused_while_the_store_is_down_or_the_budget_is_spent() {
+    let platform = start_platform().await;
+    let recorder = recorder_at(&platform, "a");
+    let limited = OnceRecorder::new(store_of(&platform), "b".to_owned(), 0);
+    platform.set_faults(FaultPlan {
+        down: true,
+        ..FaultPlan::default()
+    });
+
+    let down = begin(&recorder, "key").await.unwrap_err();
+    let over = begin(&limited, "key").await.unwrap_err();
+    let empty = begin(&recorder, "").await.unwrap_err();
+
+    assert!(matches!(down, OnceError::Store(_)), "{down}");
+    assert!(
+        matches!(over, OnceError::OverBudget { limit: 0, .. }),
+        "{over}"
+    );
+    assert!(
+        matches!(empty, OnceError::InvalidKey { length: 0 }),
+        "{empty}"
+    );
+}
+
+/// Guards against a key that stays blocked by a record whose call was answered "not run".
+#[tokio::test]
+async fn a_sweep_frees_the_key_of_a_call_that_did_not_run() {
+    let platform = start_platform().await;
+    let recorder = recorder_at(&platform, "a");
+    let ticket = run(&recorder, "key").await;
+    platform.set_faults(FaultPlan {
+        down: true,
+        ..FaultPlan::default()
+    });
+    recorder.abandon(ticket).await.unwrap_err();
+    platform.set_faults(FaultPlan::default());
+    let blocked = begin(&recorder, "key").await.unwrap();
+
+    let removed = recorder.sweep().await.unwrap();
+
+    assert!(matches!(blocked, OnceStart::Repeat(_)));
+    assert_eq!(removed, 1);
+    run(&recorder, "key").await;
+}
+
+/// Guards against a key that stays blocked by a record that was written after its call was refused.
+#[tokio::test]
+async fn a_sweep_removes_a_record_that_arrives_late() {
+    let platform = start_platform().await;
+    let mut section = section_of(platform.endpoint());
+    section.request_timeout = Duration::from_millis(100);
+    let impatient = PlatformStore::connect(&section).unwrap();
+    let recorder = OnceRecorder::new(impatient, "a".to_owned(), AMPLE);
+    platform.set_faults(FaultPlan {
+        delay_ms: 3_000,
+        ..FaultPlan::default()
+    });
+    begin(&recorder, "key").await.unwrap_err();
+    platform.set_faults(FaultPlan::default());
+    let other = recorder_at(&platform, "b");
+    let record = ItemKey::new("once/kestrel/ledger/signoff", "key");
+    let store = store_of(&platform);
+    eventually(async || store.get(&record).await.unwrap().is_some()).await;
+
+    // Several late writes of the record may arrive, so one sweep need not be enough.
+    eventually(async || {
+        recorder.sweep().await.unwrap();
+        matches!(begin(&other, "key").await.unwrap(), OnceStart::Run(_))
+    })
+    .await;
+}
+
+/// What a node does with a key in one round.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+struct NodeMove {
+    node: u8,
+    key: u8,
+    lost: u8,
+    dropped: u8,
+    abandon: bool,
+}
+
+/// What became of a ticket; the checker compares it with all others of the same key.
+#[derive(Clone, Copy, Debug, Default)]
+struct KeyHistory {
+    begun: u32,
+    abandoned: u32,
+}
+
+/// Guards against a second run of a key, whichever node begins it and whatever answers are lost (I7).
+#[tokio::test]
+async fn at_most_one_call_runs_for_each_key() {
+    let mut runs = 0;
+    let mut repeats = 0;
+    for rounds in cases(produce::<Vec<[NodeMove; 4]>>(), CASES) {
+        let platform = start_platform().await;
+        let mut ports = Vec::new();
+        for _ in 0..3 {
+            ports.push(platform.open_port(any_port()).await.unwrap());
+        }
+        let recorders: Vec<OnceRecorder> =
+            ports.iter().map(|port| recorder_at(port, "node")).collect();
+        let mut histories: BTreeMap<u8, KeyHistory> = BTreeMap::new();
+        for round in rounds.iter().take(8) {
+            for step in round {
+                let plan = write_faults(u32::from(step.lost % 3), u32::from(step.dropped % 3));
+                ports[usize::from(step.node % 3)].set_faults(plan);
+            }
+            let starts = join_all(round.iter().map(async |step| {
+                let recorder = &recorders[usize::from(step.node % 3)];
+                begin(recorder, &format!("key-{}", step.key % 2)).await
+            }));
+            let mut abandoned = Vec::new();
+            for (step, start) in round.iter().zip(starts.await) {
+                match start {
+                    Ok(OnceStart::Run(ticket)) => {
+                        runs += 1;
+                        let history = histories.entry(step.key % 2).or_default();
+                        history.begun += 1;
+                        assert_eq!(history.begun, history.abandoned + 1, "{rounds:?}");
+                        if step.abandon {
+                            abandoned.push((*step, ticket));
+                        }
+                    }
+                    Ok(OnceStart::Repeat(_)) => repeats += 1,
+                    Err(OnceError::Store(_)) => {}
+                    Err(error) => panic!("{error}"),
+                }
+            }
+            // Tickets are given back only now, so that calls of one round count as concurrent. A removal
+            // counts even without an answer, since it may have taken effect.
+            for (step, ticket) in abandoned {
+                let recorder = &recorders[usize::from(step.node % 3)];
+                let _ = recorder.abandon(ticket).await;
+                histories.entry(step.key % 2).or_default().abandoned += 1;
+            }
+            for recorder in &recorders {
+                let _ = recorder.sweep().await;
+            }
+        }
+    }
+    assert!(runs > 0 && repeats > 0, "{runs} runs and {repeats} repeats");
+}
