Offer the operator API

Cause: operators change contracts and start versions through any node, and must never be told that a change is accepted before the store said so. Change: admin_types holds the JSON bodies, admin_hooks the closures for the store and the node, admin_changes the contract and move changes, admin_error the errors, admin_api the HTTP server. A contract carries the revision it replaces; a conflict shows both changes; an unsettled outcome is answered as unknown with the version to look at. Tokens are compared by hash in constant time. A commit runs in a task of its own, so a client that goes away does not cut it in two. Differences of contracts now name their line.

--- a/src/admin_api.rs
+++ b/src/admin_api.rs
@@ -1,1 +1,498 @@
-//! HTTP API for operators.
+//! HTTP API for operators, target announcements and metrics.
+
+use {
+    crate::{
+        admin_changes::{
+            ContractProposal, apply_contract, audit_records, cancel_move, contract_history,
+            running_move, service_with_split, start_move,
+        },
+        admin_error::ApiError,
+        admin_hooks::AdminHooks,
+        admin_types::{
+            AuditList, ContractHistory, ErrorCode, MemberView, MoveList, MoveRequest, MoveView,
+            NodeStatus, ResourceChange, TargetAnnouncementBody, VetoView,
+        },
+        blackboard::Blackboard,
+        config::{ConfigSnapshot, ServiceKey},
+        ids::{ConfigVersion, OperatorName},
+        ini_file::MAX_TEXT_BYTES,
+        membership::MemberRecord,
+        settings::NodeSettings,
+        value_rule::{is_name, is_version_name},
+    },
+    futures::{FutureExt, future::BoxFuture},
+    http::header::AUTHORIZATION,
+    http_body_util::Full,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    sha2::{Digest, Sha256},
+    std::{future::Future, net::SocketAddr, sync::Arc},
+    subtle::ConstantTimeEq,
+    tokio::net::TcpListener,
+    tokio_util::sync::CancellationToken,
+    tracing::{info, warn},
+    viz::{
+        Request, RequestExt, RequestLimitsExt, Response, ResponseExt, Router, types::PayloadError,
+    },
+};
+
+/// Longest body of a request other than a contract, in bytes.
+const MAX_JSON_BYTES: u64 = 16 * 1024;
+
+/// Audit records returned when the request sets no limit.
+const DEFAULT_RECORDS: usize = 100;
+
+/// Most audit records returned at once.
+const MAX_RECORDS: usize = 1000;
+
+/// What the API works on.
+#[derive(Clone)]
+pub struct AdminContext {
+    /// Settings of the node.
+    pub settings: Arc<NodeSettings>,
+    /// Shared tables of the node.
+    pub board: Arc<Blackboard>,
+    /// Access to the store and the node.
+    pub hooks: AdminHooks,
+}
+
+/// Serves the API until `cancel` is triggered; requests in progress are finished.
+pub async fn serve_admin(
+    listener: TcpListener,
+    context: Arc<AdminContext>,
+    cancel: CancellationToken,
+) {
+    let router = admin_router(&context);
+    let server = viz::serve(listener, router).signal(cancel.cancelled_owned());
+    if let Err(error) = server.await {
+        warn!(%error, "operator API stopped");
+    }
+}
+
+fn admin_router(context: &Arc<AdminContext>) -> Router {
+    Router::new()
+        .post("/v1/targets", endpoint(context, post_target))
+        .put("/v1/contracts/:customer", endpoint(context, put_contract))
+        .get("/v1/contracts/:customer", endpoint(context, get_contract))
+        .get(
+            "/v1/contracts/:customer/history",
+            endpoint(context, get_history),
+        )
+        .post("/v1/moves", endpoint(context, post_move))
+        .get("/v1/moves", endpoint(context, get_moves))
+        .get("/v1/moves/:customer/:service", endpoint(context, get_move))
+        .post(
+            "/v1/moves/:customer/:service/cancel",
+            endpoint(context, post_cancel),
+        )
+        .get("/v1/audit", endpoint(context, get_audit))
+        .get("/v1/status", endpoint(context, get_status))
+        .get("/metrics", endpoint(context, get_metrics))
+        .any("/*", endpoint(context, no_such_path))
+}
+
+/// Makes a handler of viz from a function that answers or fails with an `ApiError`.
+fn endpoint<F, R>(
+    context: &Arc<AdminContext>,
+    run: F,
+) -> impl Fn(Request) -> BoxFuture<'static, viz::Result<Response>> + Clone + Send + Sync + 'static
+where
+    F: Fn(Arc<AdminContext>, Request) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Result<Response, ApiError>> + Send + 'static,
+{
+    let context = context.clone();
+    move |request| {
+        let answer = run(context.clone(), request);
+        async move { Ok(answer.await.unwrap_or_else(|error| error_answer(&error))) }.boxed()
+    }
+}
+
+fn error_answer(error: &ApiError) -> Response {
+    let mut response = Response::json(&error.body).unwrap_or_default();
+    *response.status_mut() = error.status();
+    response
+}
+
+fn json_answer<T: Serialize>(body: &T) -> Result<Response, ApiError> {
+    Response::json(body).map_err(|error| {
+        let message = format!("The answer cannot be encoded: {error}.");
+        ApiError::new(ErrorCode::MalformedRequest, message)
+    })
+}
+
+async fn no_such_path(_: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
+    let message = format!("There is no {} {}.", request.method(), request.path());
+    Err(ApiError::new(ErrorCode::NotFound, message))
+}
+
+/// Returns the operator whose token the request carries.
+fn operator_of(context: &AdminContext, request: &Request) -> Result<OperatorName, ApiError> {
+    let header = request.headers().get(AUTHORIZATION);
+    let text = header.and_then(|value| value.to_str().ok());
+    let token = text.and_then(|text| text.strip_prefix("Bearer "));
+    token
+        .and_then(|token| find_operator(context, token))
+        .ok_or_else(|| {
+            let message = "The request needs the header Authorization: Bearer TOKEN with the token \
+                           of an operator of this node.";
+            ApiError::new(ErrorCode::Unauthenticated, message)
+        })
+}
+
+/// Compares hashes of equal length with all tokens, so that neither the time taken nor the order of the
+/// operators tells how much of a guess was right.
+fn find_operator(context: &AdminContext, token: &str) -> Option<OperatorName> {
+    let offered = Sha256::digest(token.as_bytes());
+    let mut found = None;
+    for (known, operator) in &context.settings.operators {
+        let expected = Sha256::digest(known.as_bytes());
+        if bool::from(offered.as_slice().ct_eq(expected.as_slice())) {
+            found = Some(operator.clone());
+        }
+    }
+    found
+}
+
+async fn read_body(request: &mut Request, max_bytes: u64) -> Result<Vec<u8>, ApiError> {
+    match request.bytes_with(Some(max_bytes), max_bytes).await {
+        Ok(bytes) => Ok(bytes.to_vec()),
+        Err(PayloadError::Empty) => Ok(Vec::new()),
+        Err(PayloadError::TooLarge) => {
+            let message = format!("The body is longer than {max_bytes} bytes.");
+            Err(ApiError::new(ErrorCode::TooLarge, message))
+        }
+        Err(error) => Err(malformed(format!("The body cannot be read: {error}."))),
+    }
+}
+
+fn malformed(message: String) -> ApiError {
+    ApiError::new(ErrorCode::MalformedRequest, message)
+}
+
+async fn read_json<T: DeserializeOwned>(request: &mut Request) -> Result<T, ApiError> {
+    let bytes = read_body(request, MAX_JSON_BYTES).await?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| malformed(format!("The body is not as expected: {error}.")))
+}
+
+fn read_query<T: DeserializeOwned>(request: &Request) -> Result<T, ApiError> {
+    request
+        .query()
+        .map_err(|error| malformed(format!("The query is not as expected: {error}.")))
+}
+
+fn path_name(request: &Request, name: &str) -> Result<String, ApiError> {
+    let value: String = request
+        .param(name)
+        .map_err(|error| malformed(format!("The path lacks the {name}: {error}.")))?;
+    if is_name(&value) {
+        return Ok(value);
+    }
+    Err(malformed(format!(
+        "The path has no valid {name}: {value:?}."
+    )))
+}
+
+fn path_key(request: &Request) -> Result<ServiceKey, ApiError> {
+    Ok(ServiceKey {
+        customer: path_name(request, "customer")?,
+        service: path_name(request, "service")?,
+    })
+}
+
+async fn post_target(
+    context: Arc<AdminContext>,
+    mut request: Request,
+) -> Result<Response, ApiError> {
+    require_local(&context, &request)?;
+    let body: TargetAnnouncementBody = read_json(&mut request).await?;
+    check_announcement(&body)?;
+    (context.hooks.announce)(body);
+    json_answer(&serde_json::json!({}))
+}
+
+/// Only the machine of the node may announce its target: by loopback, or by the node's own address, which
+/// is also the sender's address then.
+fn require_local(context: &AdminContext, request: &Request) -> Result<(), ApiError> {
+    // The server keeps the peer's address in this form; `remote_addr` of viz looks for another.
+    let peer = request.extensions().get::<Option<Arc<SocketAddr>>>();
+    let peer = peer.and_then(|peer| peer.as_deref().copied());
+    let own = context.settings.node.admin_address.ip();
+    match peer {
+        Some(peer) if peer.ip().is_loopback() || peer.ip() == own => Ok(()),
+        _ => {
+            let message = "Targets may be announced only from the machine of the node.";
+            Err(ApiError::new(ErrorCode::NotLocal, message))
+        }
+    }
+}
+
+fn check_announcement(body: &TargetAnnouncementBody) -> Result<(), ApiError> {
+    let names = is_name(&body.customer) && is_name(&body.service) && is_version_name(&body.version);
+    if !names {
+        let message = "customer, service or version is not a valid name.";
+        return Err(malformed(message.to_owned()));
+    }
+    if body.slots == 0 || body.connections == 0 || body.address.port() == 0 {
+        let message = "slots, connections and the port of the address must be at least 1.";
+        return Err(malformed(message.to_owned()));
+    }
+    Ok(())
+}
+
+/// Query of a contract change.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ContractQuery {
+    expect: u64,
+}
+
+async fn put_contract(
+    context: Arc<AdminContext>,
+    mut request: Request,
+) -> Result<Response, ApiError> {
+    let operator = operator_of(&context, &request)?;
+    let customer = path_name(&request, "customer")?;
+    let query: ContractQuery = read_query(&request)?;
+    let bytes = read_body(&mut request, MAX_TEXT_BYTES as u64).await?;
+    let text = String::from_utf8(bytes)
+        .map_err(|error| malformed(format!("The contract is not UTF-8: {error}.")))?;
+    let proposal = ContractProposal {
+        operator: operator.clone(),
+        customer,
+        expected_revision: query.expect,
+        text,
+    };
+    let result = apply_contract(&context.hooks, proposal).await;
+    log_change("contract", &operator, result.as_ref().err());
+    json_answer(&result?)
+}
+
+fn log_change(change: &str, operator: &OperatorName, error: Option<&ApiError>) {
+    match error {
+        None => info!(change, operator, "change accepted"),
+        Some(error) => warn!(change, operator, %error, "change not accepted"),
+    }
+}
+
+async fn get_contract(context: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
+    operator_of(&context, &request)?;
+    let customer = path_name(&request, "customer")?;
+    let found = (context.hooks.contract)(customer.clone()).await?;
+    let body = found.ok_or_else(|| {
+        let message = format!("Customer {customer} has no contract.");
+        ApiError::new(ErrorCode::NotFound, message)
+    })?;
+    json_answer(&body)
+}
+
+/// Query of a contract's history.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct HistoryQuery {
+    before: Option<ConfigVersion>,
+    limit: Option<usize>,
+}
+
+async fn get_history(context: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
+    operator_of(&context, &request)?;
+    let customer = path_name(&request, "customer")?;
+    let query: HistoryQuery = read_query(&request)?;
+    let last = match query.before {
+        Some(before) => before.saturating_sub(1),
+        None => (context.hooks.accepted)(()).await?.version,
+    };
+    let limit = record_limit(query.limit);
+    let scan = contract_history(&context.hooks, &customer, last, limit).await?;
+    json_answer(&ContractHistory {
+        records: scan.records,
+        before: scan.stopped_at,
+    })
+}
+
+fn record_limit(asked: Option<usize>) -> usize {
+    asked.unwrap_or(DEFAULT_RECORDS).clamp(1, MAX_RECORDS)
+}
+
+async fn post_move(context: Arc<AdminContext>, mut request: Request) -> Result<Response, ApiError> {
+    let operator = operator_of(&context, &request)?;
+    let body: MoveRequest = read_json(&mut request).await?;
+    let result = start_move(&context.hooks, operator.clone(), body).await;
+    log_change("move start", &operator, result.as_ref().err());
+    json_answer(&result?)
+}
+
+/// Query of a cancellation.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CancelQuery {
+    #[serde(rename = "move")]
+    move_id: Option<ConfigVersion>,
+}
+
+async fn post_cancel(context: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
+    let operator = operator_of(&context, &request)?;
+    let key = path_key(&request)?;
+    let query: CancelQuery = read_query(&request)?;
+    let result = cancel_move(&context.hooks, operator.clone(), &key, query.move_id).await;
+    log_change("move cancel", &operator, result.as_ref().err());
+    json_answer(&result?)
+}
+
+/// Where a view of moves is taken from.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ViewSource {
+    /// Configuration in force on this node.
+    #[default]
+    Node,
+    /// Accepted configuration in the store.
+    Store,
+}
+
+/// Query of a view of moves.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MoveQuery {
+    #[serde(default)]
+    source: ViewSource,
+}
+
+async fn snapshot_for(
+    context: &AdminContext,
+    request: &Request,
+) -> Result<Arc<ConfigSnapshot>, ApiError> {
+    let query: MoveQuery = read_query(request)?;
+    match query.source {
+        ViewSource::Node => Ok(context.board.gate.current()),
+        ViewSource::Store => Ok((context.hooks.accepted)(()).await?),
+    }
+}
+
+async fn get_moves(context: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
+    operator_of(&context, &request)?;
+    let snapshot = snapshot_for(&context, &request).await?;
+    let moves: Result<Vec<MoveView>, ApiError> = snapshot
+        .services()
+        .map(|service| move_view(&context, &snapshot, &service.key))
+        .collect();
+    json_answer(&MoveList {
+        as_of: snapshot.version,
+        moves: moves?,
+    })
+}
+
+async fn get_move(context: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
+    operator_of(&context, &request)?;
+    let key = path_key(&request)?;
+    let snapshot = snapshot_for(&context, &request).await?;
+    json_answer(&move_view(&context, &snapshot, &key)?)
+}
+
+fn move_view(
+    context: &AdminContext,
+    snapshot: &ConfigSnapshot,
+    key: &ServiceKey,
+) -> Result<MoveView, ApiError> {
+    let (service, split) = service_with_split(snapshot, key)?;
+    let vetoes = context.board.vetoes.lock();
+    let veto = vetoes.against(split).map(|veto| VetoView {
+        key: key.clone(),
+        move_id: veto.move_id,
+        issuer: veto.issuer.clone(),
+        reason: veto.reason.clone(),
+    });
+    Ok(MoveView {
+        key: key.clone(),
+        stable: split.stable.clone(),
+        candidate_permille: split.candidate_permille,
+        current_move: split.current_move.clone(),
+        veto,
+        policy: service.move_policy.clone(),
+        service: service.clone(),
+        changes: resource_changes(snapshot, key),
+        as_of: snapshot.version,
+    })
+}
+
+fn resource_changes(snapshot: &ConfigSnapshot, key: &ServiceKey) -> Vec<ResourceChange> {
+    let names = [
+        format!("customer/{}", key.customer),
+        format!("service/{key}"),
+        format!("split/{key}"),
+    ];
+    let change_of = |name: String| {
+        let changed_at = snapshot.resources.get(&name)?.changed_at;
+        Some(ResourceChange { name, changed_at })
+    };
+    names.into_iter().filter_map(change_of).collect()
+}
+
+/// Query of audit records.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AuditQuery {
+    from: Option<ConfigVersion>,
+    limit: Option<usize>,
+    resource: Option<String>,
+}
+
+async fn get_audit(context: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
+    operator_of(&context, &request)?;
+    let query: AuditQuery = read_query(&request)?;
+    let from = query.from.unwrap_or(1);
+    let limit = record_limit(query.limit);
+    let scan = audit_records(&context.hooks, from, limit, query.resource.as_deref()).await?;
+    json_answer(&AuditList {
+        records: scan.records,
+        next: scan.stopped_at,
+    })
+}
+
+async fn get_status(context: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
+    operator_of(&context, &request)?;
+    json_answer(&node_status(&context))
+}
+
+fn node_status(context: &AdminContext) -> NodeStatus {
+    let node = &context.settings.node;
+    let board = &context.board;
+    let mut members: Vec<MemberView> = board.members.lock().iter().map(member_view).collect();
+    members.sort_by(|first, second| first.node.cmp(&second.node));
+    NodeStatus {
+        node: node.id.clone(),
+        region: node.region.clone(),
+        domain: node.failure_domain.clone(),
+        version: board.gate.version(),
+        ready: board.gate.is_ready(),
+        members,
+        vetoes: running_vetoes(context),
+    }
+}
+
+fn member_view(record: &MemberRecord) -> MemberView {
+    MemberView {
+        node: record.node.clone(),
+        domain: record.domain.clone(),
+        state: record.state,
+        applied_version: record.applied_version,
+        target: record.target.clone(),
+    }
+}
+
+fn running_vetoes(context: &AdminContext) -> Vec<VetoView> {
+    let snapshot = context.board.gate.current();
+    let views = snapshot.services().filter_map(|service| {
+        let split = snapshot.split(&service.key)?;
+        running_move(split)?;
+        move_view(context, &snapshot, &service.key).ok()?.veto
+    });
+    views.collect()
+}
+
+async fn get_metrics(context: Arc<AdminContext>, _: Request) -> Result<Response, ApiError> {
+    let text = (context.hooks.metrics)();
+    Ok(Response::with(
+        Full::from(text),
+        "text/plain; version=0.0.4; charset=utf-8",
+    ))
+}
--- a/src/contract.rs
+++ b/src/contract.rs
@@ -33,7 +33,7 @@
 const MAX_BODY_BYTES: u64 = 64 << 30;
 
 /// Allowed times for a version to take over.
-const FINISH_RANGE: RangeInclusive<Duration> =
+pub const FINISH_RANGE: RangeInclusive<Duration> =
     Duration::from_secs(1)..=Duration::from_secs(7 * 86_400);
 
 /// Allowed times for watching a version after it took over.
@@ -61,6 +61,19 @@
     pub customer: CustomerSpec,
     /// Services in the order of the contract.
     pub services: Vec<ServiceSpec>,
+    /// Lines of the sections and keys that the contract holds.
+    pub lines: Vec<TermLine>,
+}
+
+/// Line of a section or of a key in it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TermLine {
+    /// Section.
+    pub section: String,
+    /// Key, or empty for the header of the section.
+    pub key: String,
+    /// Line, counted from 1.
+    pub line: u32,
 }
 
 /// Resources that a contract adds, changes or removes.
@@ -82,7 +95,7 @@
     pub key: String,
     /// Value in canonical form.
     pub value: String,
-    /// Line that sets the value; 0 where the contract does not keep it.
+    /// Line that sets the value; for a default, the line of the section.
     pub line: u32,
 }
 
@@ -104,9 +117,10 @@
 /// One difference between two contracts.
 #[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[display(
-    "{change} [{section}] {key}: {} -> {}",
+    "{change} [{section}] {key}: {} -> {}{}",
     shown_value(before),
-    shown_value(after)
+    shown_value(after),
+    shown_line(line)
 )]
 #[serde(deny_unknown_fields)]
 pub struct ContractDifference {
@@ -120,12 +134,18 @@
     pub before: Option<String>,
     /// Value in the new contract.
     pub after: Option<String>,
+    /// Line of the new contract that sets the value; none if the setting was removed.
+    pub line: Option<u32>,
 }
 
 fn shown_value(value: &Option<String>) -> &str {
     value.as_deref().unwrap_or("(none)")
 }
 
+fn shown_line(line: &Option<u32>) -> String {
+    line.map_or_else(String::new, |line| format!(" (line {line})"))
+}
+
 impl CustomerContract {
     /// Returns what has to change in `present` for this contract to be in force.
     ///
@@ -160,9 +180,10 @@
     pub fn terms(&self) -> Vec<ContractTerm> {
         let mut terms = TermList {
             section: "customer".to_owned(),
+            lines: &self.lines,
             terms: Vec::new(),
         };
-        terms.add("name", &self.customer.customer, 0);
+        terms.add("name", &self.customer.customer);
         terms.add_limits(&self.customer.limits);
         for service in &self.services {
             add_service_terms(&mut terms, service);
@@ -237,39 +258,48 @@
         key: term.key.clone(),
         before: before.map(|term| term.value.clone()),
         after: after.map(|term| term.value.clone()),
+        line: after.map(|term| term.line),
     })
 }
 
 /// Collects the terms of one section after the other.
-struct TermList {
+struct TermList<'a> {
     section: String,
+    lines: &'a [TermLine],
     terms: Vec<ContractTerm>,
 }
 
-impl TermList {
-    fn add(&mut self, key: &str, value: &str, line: u32) {
+impl TermList<'_> {
+    fn add(&mut self, key: &str, value: &str) {
+        let line = self.line_of(key).or_else(|| self.line_of(""));
         self.terms.push(ContractTerm {
             section: self.section.clone(),
             key: key.to_owned(),
             value: value.to_owned(),
-            line,
+            line: line.unwrap_or_default(),
         });
     }
 
+    fn line_of(&self, key: &str) -> Option<u32> {
+        let mut lines = self.lines.iter();
+        let found = lines.find(|line| line.section == self.section && line.key == key)?;
+        Some(found.line)
+    }
+
     fn add_limits(&mut self, limits: &CallLimits) {
         for (key, limit) in [("rate", limits.rate), ("concurrency", limits.concurrency)] {
             if let Some(limit) = limit {
-                self.add(key, &limit.value.to_string(), limit.line);
+                self.add(key, &limit.value.to_string());
             }
         }
     }
 }
 
-fn add_service_terms(terms: &mut TermList, service: &ServiceSpec) {
+fn add_service_terms(terms: &mut TermList<'_>, service: &ServiceSpec) {
     let name = &service.key.service;
     terms.section = format!("service {name}");
-    terms.add("host", &service.host, 0);
-    terms.add("initial_version", &service.initial_version, 0);
+    terms.add("host", &service.host);
+    terms.add("initial_version", &service.initial_version);
     terms.add_limits(&service.limits);
     for route in &service.routes {
         terms.section = format!("route {name} {}", route.name);
@@ -277,26 +307,21 @@
     }
     let policy = &service.move_policy;
     terms.section = format!("move {name}");
-    terms.add("prefer", &policy.prefer.to_string(), 0);
-    terms.add("finish_within", &show_duration(policy.finish_within), 0);
-    terms.add("canary_share", &show_permille(policy.canary_permille), 0);
-    terms.add("watch_for", &show_duration(policy.watch_for), 0);
+    terms.add("prefer", &policy.prefer.to_string());
+    terms.add("finish_within", &show_duration(policy.finish_within));
+    terms.add("canary_share", &show_permille(policy.canary_permille));
+    terms.add("watch_for", &show_duration(policy.watch_for));
 }
 
-fn add_route_terms(terms: &mut TermList, route: &RouteSpec) {
-    terms.add("path", &route.path, 0);
+fn add_route_terms(terms: &mut TermList<'_>, route: &RouteSpec) {
+    terms.add("path", &route.path);
     if !route.methods.is_empty() {
-        terms.add("methods", &route.methods.join(", "), 0);
+        terms.add("methods", &route.methods.join(", "));
     }
-    terms.add("idempotent", &route.idempotent.to_string(), 0);
-    terms.add("keyed", &route.keyed.to_string(), 0);
-    terms.add(
-        "deadline",
-        &show_duration(route.deadline),
-        route.deadline_line,
-    );
-    let body_limit = route.body_limit;
-    terms.add("body_limit", &show_size(body_limit.value), body_limit.line);
+    terms.add("idempotent", &route.idempotent.to_string());
+    terms.add("keyed", &route.keyed.to_string());
+    terms.add("deadline", &show_duration(route.deadline));
+    terms.add("body_limit", &show_size(route.body_limit.value));
     terms.add_limits(&route.limits);
 }
 
@@ -326,13 +351,32 @@
     let services = read_services(name, &ini, &sections, &mut errors);
     report_unowned(&sections, &mut errors);
     report_shared_hosts(&services, &sections, &mut errors);
-    let contract = customer.map(|customer| CustomerContract { customer, services });
+    let contract = customer.map(|customer| CustomerContract {
+        customer,
+        services,
+        lines: term_lines(&ini),
+    });
     if let Some(contract) = &contract {
         report_wide_limits(contract, &mut errors);
     }
     errors.finish(contract)
 }
 
+fn term_lines(ini: &IniFile) -> Vec<TermLine> {
+    let mut lines = Vec::new();
+    for section in &ini.sections {
+        let line_of = |key: &str, line| TermLine {
+            section: section.name.clone(),
+            key: key.to_owned(),
+            line,
+        };
+        lines.push(line_of("", section.line));
+        let entries = section.entries.iter();
+        lines.extend(entries.map(|entry| line_of(&entry.key, entry.line)));
+    }
+    lines
+}
+
 fn known_sections<'a>(ini: &'a IniFile, errors: &mut ErrorList) -> Vec<KnownSection<'a>> {
     let mut known = Vec::new();
     for section in &ini.sections {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,10 @@
 #![warn(missing_docs)]
 
 pub mod admin_api;
+pub mod admin_changes;
+pub mod admin_error;
+pub mod admin_hooks;
+pub mod admin_types;
 pub mod apply_gate;
 pub mod blackboard;
 pub mod call_evidence;
--- a/tests/contract_parse.rs
+++ b/tests/contract_parse.rs
@@ -333,8 +333,8 @@
     assert_eq!(
         shown,
         [
-            "changed [route ledger record] keyed: false -> true",
-            "changed [route ledger record] deadline: 2s -> 3s",
+            "changed [route ledger record] keyed: false -> true (line 8)",
+            "changed [route ledger record] deadline: 2s -> 3s (line 9)",
             "removed [customer] rate: 100 -> (none)",
         ]
     );
