--- a/src/admin_api.rs
+++ b/src/admin_api.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         admin_changes::{
-            ContractProposal, apply_contract, audit_records, cancel_move, contract_history,
-            running_move, service_with_split, start_move,
+            AuditSearch, ContractProposal, apply_contract, audit_records, cancel_move,
+            contract_history, running_move, service_with_split, start_move,
         },
         admin_error::ApiError,
         admin_hooks::AdminHooks,
@@ -13,7 +13,7 @@
             NodeStatus, ResourceChange, TargetAnnouncementBody, VetoView,
         },
         blackboard::Blackboard,
-        config::{ConfigSnapshot, ServiceKey},
+        config::{ConfigSnapshot, ResourceName, ServiceKey},
         ids::{ConfigVersion, OperatorName},
         ini_file::MAX_TEXT_BYTES,
         membership::MemberRecord,
@@ -432,16 +432,21 @@
 #[serde(deny_unknown_fields)]
 struct AuditQuery {
     from: Option<ConfigVersion>,
+    until: Option<ConfigVersion>,
     limit: Option<usize>,
-    resource: Option<String>,
+    resource: Option<ResourceName>,
 }
 
 async fn get_audit(context: Arc<AdminContext>, request: Request) -> Result<Response, ApiError> {
     operator_of(&context, &request)?;
     let query: AuditQuery = read_query(&request)?;
-    let from = query.from.unwrap_or(1);
-    let limit = record_limit(query.limit);
-    let scan = audit_records(&context.hooks, from, limit, query.resource.as_deref()).await?;
+    let search = AuditSearch {
+        from: query.from.unwrap_or(1),
+        until: query.until.unwrap_or(ConfigVersion::MAX),
+        limit: record_limit(query.limit),
+        resource: query.resource,
+    };
+    let scan = audit_records(&context.hooks, &search).await?;
     json_answer(&AuditList {
         records: scan.records,
         next: scan.stopped_at,
--- a/src/admin_changes.rs
+++ b/src/admin_changes.rs
@@ -8,7 +8,10 @@
             AuditAuthor, AuditEntry, ChangeNote, ContractAccepted, ContractBody, ErrorCode,
             MoveAccepted, MoveRequest,
         },
-        config::{ConfigSnapshot, MovePhase, ServiceKey, ServiceSpec, TrafficSplit, VersionMove},
+        config::{
+            ConfigSnapshot, MovePhase, ResourceName, ServiceKey, ServiceSpec, TrafficSplit,
+            VersionMove,
+        },
         contract::{
             ContractDifference, ContractResources, CustomerContract, FINISH_RANGE, parse_contract,
         },
@@ -474,15 +477,26 @@
     contract.is_some_and(|contract| contract.customer == customer)
 }
 
-/// Looks forwards from `from` for changes, of one resource if it is named.
+/// Audit records that a request asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AuditSearch {
+    /// First version.
+    pub from: ConfigVersion,
+    /// Last version.
+    pub until: ConfigVersion,
+    /// Most records to return.
+    pub limit: usize,
+    /// Resource that the changes concern; none means any.
+    pub resource: Option<ResourceName>,
+}
+
+/// Looks forwards for changes.
 pub async fn audit_records(
     hooks: &AdminHooks,
-    from: ConfigVersion,
-    limit: usize,
-    resource: Option<&str>,
+    search: &AuditSearch,
 ) -> Result<AuditScan, ApiError> {
     let mut scan = AuditScan::default();
-    let mut next = from.max(1);
+    let mut next = search.from.max(1);
     let end = next.saturating_add(MAX_SCANNED);
     while next < end {
         let range = AuditRange {
@@ -492,12 +506,16 @@
         let page = (hooks.audit)(range).await?;
         let complete = page.len() < AUDIT_PAGE as usize;
         for entry in page {
-            if scan.records.len() == limit {
+            if entry.version > search.until {
+                return Ok(scan);
+            }
+            if scan.records.len() == search.limit {
                 scan.stopped_at = Some(entry.version);
                 return Ok(scan);
             }
             next = entry.version + 1;
-            if resource.is_none_or(|name| entry.concerns(name)) {
+            let wanted = search.resource.as_ref();
+            if wanted.is_none_or(|name| entry.concerns(name)) {
                 scan.records.push(entry);
             }
         }
--- /dev/null
+++ b/src/bin/poplarwing.rs
@@ -0,0 +1,10 @@
+//! Operator program.
+
+use {
+    poplarwing::operator_run::run_operator,
+    std::{env, process::ExitCode},
+};
+
+fn main() -> ExitCode {
+    run_operator(env::args_os())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,8 @@
 pub mod once_record;
 pub mod operator_cli;
 pub mod operator_client;
+pub mod operator_report;
+pub mod operator_run;
 pub mod platform_store;
 pub mod retry_budget;
 pub mod route_table;
