--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,10 @@
 
 pub mod active_config;
 pub mod admin_api;
+pub mod admin_changes;
+pub mod admin_error;
+pub mod admin_hooks;
+pub mod admin_types;
 pub mod apply_gate;
 pub mod blackboard;
 pub mod call_events;
@@ -36,6 +40,8 @@
 pub mod once_record;
 pub mod operator_cli;
 pub mod operator_client;
+pub mod operator_report;
+pub mod operator_run;
 pub mod platform_store;
 pub mod retry_budget;
 pub mod route_table;
