--- a/experiments/src/main.rs
+++ b/experiments/src/main.rs
@@ -1,33 +1,37 @@
 //! Runs one experiment and prints a JSON object a line.
 
 mod figure;
+mod moves;
 
 use {
-    clap::{Arg, Command},
-    figure::{MeasuredFigure, print_figure},
+    clap::{Arg, ArgAction, ArgMatches, Command},
     std::process::ExitCode,
 };
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let experiment = matches
-        .get_one::<String>("experiment")
-        .expect("clap requires it");
-    print_figure(&MeasuredFigure {
-        experiment: experiment.clone(),
-        figure: "available".to_owned(),
-        value: 0.0,
-        unit: "count".to_owned(),
-        baseline: "poplarwing".to_owned(),
-        seed: 0,
-        size: 0,
-    });
+    match matches.subcommand() {
+        Some(("moves", arguments)) => moves::run(is_tuning(arguments)),
+        _ => unreachable!("clap requires a known experiment"),
+    }
     ExitCode::SUCCESS
 }
 
 fn command() -> Command {
-    let experiment = Arg::new("experiment").required(true).value_parser(["none"]);
+    let tuning = Arg::new("tuning")
+        .long("tuning")
+        .help("Uses the tuning seeds and adds variants of the parameters")
+        .action(ArgAction::SetTrue);
     Command::new("measure")
         .about("Runs one experiment")
-        .arg(experiment)
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("moves")
+                .about("Moves between versions against simpler ways")
+                .arg(tuning),
+        )
+}
+
+fn is_tuning(arguments: &ArgMatches) -> bool {
+    arguments.get_flag("tuning")
 }
--- /dev/null
+++ b/experiments/src/moves.rs
@@ -0,0 +1,303 @@
+//! Seeded moves between versions: the project's test and planner against simpler ways.
+
+mod calls;
+mod rivals;
+mod scenario;
+
+use {
+    crate::figure::{MeasuredFigure, print_figure},
+    calls::CallSource,
+    poplarwing::{
+        config::{MovePhase, ServiceKey, TrafficSplit},
+        move_controller::plan::{
+            MoveProgress, MoveState, MoveStep, StepChange, VersionStart, VersionTargets,
+            changed_split, is_running, plan_step, start_move,
+        },
+        move_verdict::counter_history::CounterHistory,
+        veto_table::VetoRecord,
+    },
+    rivals::{MoveWay, VersionTest},
+    scenario::{Scenario, Site},
+    std::{ops::RangeInclusive, time::Duration},
+};
+
+/// Seeds used while the parameters were chosen.
+const TUNING_SEEDS: RangeInclusive<u64> = 1..=40;
+
+/// Seeds kept apart from the choice; reported figures come from these only.
+const REPORT_SEEDS: RangeInclusive<u64> = 1001..=1100;
+
+/// Start of every run in milliseconds since the Unix epoch.
+const START_MS: u64 = 1_800_000_000_000;
+
+/// Ticks from a planned step until every caller follows it: commit and dissemination.
+const COMMIT_TICKS: u32 = 2;
+
+/// Ticks from a veto until every caller follows it.
+const VETO_TICKS: u32 = 1;
+
+/// Ticks after the deadline and the watch at which a run ends in any case.
+const LAST_TICKS: u32 = 200;
+
+/// How one run ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunResult {
+    done_in_time: bool,
+    taken_back: bool,
+    exposed: u64,
+    calls_while_bad: u64,
+    seconds_to_zero: Option<f64>,
+}
+
+/// Runs the experiment over the tuning seeds or the seeds kept apart.
+pub fn run(tuning: bool) {
+    let seeds = if tuning { TUNING_SEEDS } else { REPORT_SEEDS };
+    for site in scenario::sites() {
+        for scenario in scenario::scenarios() {
+            for way in rivals::ways(tuning) {
+                let results: Vec<RunResult> = seeds
+                    .clone()
+                    .map(|seed| run_move(&site, &scenario, &way, seed))
+                    .collect();
+                report(&site, &scenario, &way, *seeds.start(), &results);
+            }
+        }
+    }
+}
+
+fn report(site: &Site, scenario: &Scenario, way: &MoveWay, seed: u64, results: &[RunResult]) {
+    let print = |figure: &str, value: f64, unit: &str| {
+        print_figure(&MeasuredFigure {
+            experiment: "moves".to_owned(),
+            figure: format!("{}/{}/{figure}", site.name, scenario.name),
+            value,
+            unit: unit.to_owned(),
+            baseline: way.name.clone(),
+            seed,
+            size: results.len() as u64,
+        });
+    };
+    if !scenario.is_bad() {
+        print(
+            "done_in_time",
+            share_of(results, |result| result.done_in_time),
+            "share of runs",
+        );
+        return;
+    }
+    print(
+        "taken_back",
+        share_of(results, |result| result.taken_back),
+        "share of runs",
+    );
+    let exposed: u64 = results.iter().map(|result| result.exposed).sum();
+    let calls: u64 = results.iter().map(|result| result.calls_while_bad).sum();
+    print(
+        "exposed_calls",
+        exposed as f64 / results.len() as f64,
+        "calls per run",
+    );
+    print(
+        "exposed_share",
+        exposed as f64 / calls.max(1) as f64,
+        "share of calls until the end of the move",
+    );
+    let mut seconds: Vec<f64> = results
+        .iter()
+        .filter_map(|result| result.seconds_to_zero)
+        .collect();
+    seconds.sort_by(f64::total_cmp);
+    if let (Some(median), Some(high)) = (quantile(&seconds, 0.5), quantile(&seconds, 0.95)) {
+        print("first_bad_to_zero_share_median", median, "s");
+        print("first_bad_to_zero_share_p95", high, "s");
+    }
+}
+
+fn share_of(results: &[RunResult], wanted: impl Fn(&RunResult) -> bool) -> f64 {
+    results.iter().filter(|result| wanted(result)).count() as f64 / results.len() as f64
+}
+
+fn quantile(sorted: &[f64], quantile: f64) -> Option<f64> {
+    let index = (sorted.len() as f64 * quantile).ceil() as usize;
+    sorted.get(index.saturating_sub(1)).copied()
+}
+
+/// A change of the split on its way to the callers.
+struct PendingSplit {
+    split: TrafficSplit,
+    at_tick: u32,
+}
+
+/// One simulated move.
+struct SimulatedMove<'a> {
+    site: &'a Site,
+    split: TrafficSplit,
+    veto: Option<VetoRecord>,
+    vetoed_from: Option<u32>,
+    pending: Option<PendingSplit>,
+    progress: MoveProgress,
+    result: RunResult,
+    first_bad_tick: Option<u32>,
+}
+
+fn run_move(site: &Site, scenario: &Scenario, way: &MoveWay, seed: u64) -> RunResult {
+    let mut source = CallSource::new(site, scenario, seed);
+    let mut test = way.test(site);
+    let mut history = CounterHistory::new(way.policy.warm_calls, way.policy.warm_time);
+    let mut simulated = SimulatedMove::start(site);
+    let last_tick = (site.policy.finish_within + site.policy.watch_for).as_secs() as u32;
+    for tick in 0..last_tick + LAST_TICKS {
+        if !simulated.is_running() {
+            break;
+        }
+        let share = simulated.share(tick);
+        let outcome = source.tick(tick, share);
+        simulated.count(tick, &outcome);
+        let now = Duration::from_secs(u64::from(tick));
+        let differences = history.differences(&outcome.readings, now);
+        test.add(&differences);
+        simulated.plan(tick, way, &mut test, outcome.targets);
+    }
+    simulated.finish()
+}
+
+impl<'a> SimulatedMove<'a> {
+    fn start(site: &'a Site) -> Self {
+        let stable = TrafficSplit {
+            key: ServiceKey {
+                customer: site.name.to_owned(),
+                service: "service".to_owned(),
+            },
+            stable: "v1".to_owned(),
+            candidate_permille: 0,
+            current_move: None,
+        };
+        let start = VersionStart {
+            id: 1,
+            candidate: "v2".to_owned(),
+            started_at_ms: START_MS,
+            finish_within: site.policy.finish_within,
+            operator: "operator".to_owned(),
+        };
+        let split = start_move(&stable, &start).expect("no move is running");
+        let current = split.current_move.as_ref().expect("a move was started");
+        let progress = MoveProgress::new(current, 0, START_MS);
+        Self {
+            site,
+            split,
+            veto: None,
+            vetoed_from: None,
+            pending: None,
+            progress,
+            result: RunResult::default(),
+            first_bad_tick: None,
+        }
+    }
+
+    fn phase(&self) -> MovePhase {
+        self.split
+            .current_move
+            .as_ref()
+            .map_or(MovePhase::Done, |current| current.phase)
+    }
+
+    fn is_running(&self) -> bool {
+        is_running(self.phase())
+    }
+
+    fn share(&mut self, tick: u32) -> u32 {
+        if let Some(pending) = self.pending.take_if(|pending| pending.at_tick <= tick) {
+            self.split = pending.split;
+            self.note_phase(tick);
+        }
+        match self.vetoed_from {
+            Some(from) if from <= tick => 0,
+            _ if self.is_running() => self.split.candidate_permille,
+            _ => 0,
+        }
+    }
+
+    fn note_phase(&mut self, tick: u32) {
+        let in_time = u64::from(tick) <= self.site.policy.finish_within.as_secs();
+        match self.phase() {
+            MovePhase::Watch => self.result.done_in_time |= in_time,
+            MovePhase::TakenBack => self.result.taken_back = true,
+            _ => {}
+        }
+    }
+
+    fn count(&mut self, tick: u32, outcome: &calls::TickOutcome) {
+        if outcome.bad_answers > 0 && self.first_bad_tick.is_none() {
+            self.first_bad_tick = Some(tick);
+        }
+        if self.first_bad_tick.is_some() {
+            self.result.exposed += outcome.candidate_calls;
+            self.result.calls_while_bad += outcome.calls;
+        }
+        let share_ended = outcome.candidate_calls == 0 && self.vetoed_from.is_some();
+        if share_ended {
+            self.note_zero(tick);
+        }
+    }
+
+    fn note_zero(&mut self, tick: u32) {
+        if let (Some(first), None) = (self.first_bad_tick, self.result.seconds_to_zero) {
+            self.result.seconds_to_zero = Some(f64::from(tick - first));
+        }
+    }
+
+    fn plan(&mut self, tick: u32, way: &MoveWay, test: &mut VersionTest, targets: VersionTargets) {
+        let now_ms = START_MS + u64::from(tick) * 1000;
+        let in_force = self.split.clone();
+        if self.progress.observe(&in_force, &targets, now_ms) {
+            test.begin_step();
+        }
+        if self.pending.is_some() || !self.is_running() {
+            return;
+        }
+        let step = match &way.fixed_steps {
+            Some(steps) => steps.plan(&in_force, test.verdict(), &self.progress, now_ms),
+            None => {
+                let state = MoveState {
+                    split: in_force,
+                    veto: self.veto.clone(),
+                    progress: self.progress.clone(),
+                };
+                plan_step(&state, &test.verdict(), &targets, &self.site.policy, now_ms)
+            }
+        };
+        self.take(tick, step);
+    }
+
+    fn take(&mut self, tick: u32, step: MoveStep) {
+        match step {
+            MoveStep::Hold(_) => {}
+            MoveStep::Change(change) => self.write(tick, &change),
+            MoveStep::VetoAndTakeBack(change) => {
+                self.vetoed_from.get_or_insert(tick + VETO_TICKS);
+                self.write(tick, &change);
+            }
+        }
+    }
+
+    fn write(&mut self, tick: u32, change: &StepChange) {
+        if change.step.phase == MovePhase::TakenBack {
+            self.vetoed_from.get_or_insert(tick + COMMIT_TICKS);
+        }
+        self.pending = Some(PendingSplit {
+            split: changed_split(&self.split, change),
+            at_tick: tick + COMMIT_TICKS,
+        });
+    }
+
+    fn finish(mut self) -> RunResult {
+        if self.result.taken_back {
+            self.result.done_in_time = false;
+            if let Some(from) = self.vetoed_from {
+                let first = self.first_bad_tick.unwrap_or(from);
+                self.note_zero(from.max(first));
+            }
+        }
+        self.result
+    }
+}
--- /dev/null
+++ b/experiments/src/moves/calls.rs
@@ -0,0 +1,369 @@
+//! Generated calls and the counters that nodes would report of them.
+
+use {
+    super::scenario::{FaultTime, Scenario, Site, SiteRoute},
+    poplarwing::{
+        call_evidence::{CallObservation, EvidenceTable},
+        config::ServiceKey,
+        move_controller::plan::VersionTargets,
+        move_verdict::counter_history::CounterReading,
+        wire::EvidenceReply,
+    },
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    rand_distr::{Distribution, Exp, LogNormal, Poisson},
+    std::time::Duration,
+};
+
+/// Spread of the latency of one route, as the standard deviation of its logarithm.
+const LATENCY_SPREAD: f64 = 0.5;
+
+/// Spread of the speed of VMs, as the standard deviation of its logarithm.
+const VM_SPREAD: f64 = 0.05;
+
+/// Probability that a call of a healthy version fails.
+const BASE_FAILURE: f64 = 0.002;
+
+/// Slowdown of the first call of a target with a cold start.
+const COLD_SLOWDOWN: f64 = 6.0;
+
+/// Calls after which the slowdown of a cold start has fallen to 37%.
+const COLD_CALLS: f64 = 8.0;
+
+/// Mean seconds between two noisy times of one VM.
+const NOISE_INTERVAL: f64 = 300.0;
+
+/// Mean seconds that a noisy time lasts.
+const NOISE_LENGTH: f64 = 15.0;
+
+/// Slowdown by a noisy neighbour.
+const NOISE_SLOWDOWN: f64 = 3.0;
+
+/// Mean seconds between two common faults.
+const COMMON_INTERVAL: f64 = 200.0;
+
+/// Mean seconds that a common fault lasts.
+const COMMON_LENGTH: f64 = 20.0;
+
+/// Probability that a call fails during a common fault.
+const COMMON_FAILURE: f64 = 0.5;
+
+/// Slowdown during a common fault.
+const COMMON_SLOWDOWN: f64 = 4.0;
+
+/// Seconds that a crashed target is away.
+const CRASH_LENGTH: u32 = 15;
+
+/// What happened in one tick.
+pub struct TickOutcome {
+    /// Calls of all callers.
+    pub calls: u64,
+    /// Calls that the candidate received.
+    pub candidate_calls: u64,
+    /// Answers of the candidate that its fault made bad.
+    pub bad_answers: u64,
+    /// What the nodes report.
+    pub readings: Vec<CounterReading>,
+    /// Targets available.
+    pub targets: VersionTargets,
+}
+
+/// One target with its node.
+struct SimulatedTarget {
+    node: String,
+    version: &'static str,
+    speed: f64,
+    calls: u64,
+    noisy_until: f64,
+    away_until: u32,
+    incarnation: u64,
+    table: EvidenceTable,
+}
+
+/// Generates the calls of one run.
+pub struct CallSource<'a> {
+    site: &'a Site,
+    scenario: &'a Scenario,
+    rng: ChaCha8Rng,
+    stable: Vec<SimulatedTarget>,
+    candidate: Vec<SimulatedTarget>,
+    common_until: f64,
+    fault_from: u32,
+    crash_at: u32,
+}
+
+/// State of both versions' surroundings at one tick.
+#[derive(Clone, Copy)]
+struct TickState {
+    tick: u32,
+    common: bool,
+    target_load: f64,
+}
+
+impl<'a> CallSource<'a> {
+    /// Returns the calls of one run.
+    pub fn new(site: &'a Site, scenario: &'a Scenario, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let stable = targets(site, "v1", &mut rng);
+        let candidate = targets(site, "v2", &mut rng);
+        let deadline = site.policy.finish_within.as_secs() as u32;
+        let watch_half = site.policy.watch_for.as_secs() as u32 / 2;
+        Self {
+            site,
+            scenario,
+            stable,
+            candidate,
+            common_until: 0.0,
+            fault_from: rng.random_range(60..deadline - watch_half),
+            crash_at: rng.random_range(30..deadline),
+            rng,
+        }
+    }
+
+    /// Generates the calls of one second at this share of the candidate.
+    pub fn tick(&mut self, tick: u32, permille: u32) -> TickOutcome {
+        self.disturb(tick);
+        let available: Vec<usize> = (0..self.candidate.len())
+            .filter(|index| self.candidate[*index].away_until <= tick)
+            .collect();
+        let loaded = (available.len() * permille as usize)
+            .div_ceil(1000)
+            .clamp(1, available.len().max(1));
+        let share = f64::from(permille) / 1000.0;
+        let state = TickState {
+            tick,
+            common: f64::from(tick) < self.common_until,
+            target_load: share * f64::from(self.site.targets) / loaded as f64,
+        };
+        let mut outcome = TickOutcome {
+            calls: self.draw_calls(),
+            candidate_calls: 0,
+            bad_answers: 0,
+            readings: Vec::new(),
+            targets: self.count_targets(available.len() as u32),
+        };
+        for _ in 0..outcome.calls {
+            let to_candidate = !available.is_empty() && self.rng.random_bool(share);
+            if to_candidate {
+                let index = available[self.rng.random_range(0..loaded)];
+                outcome.candidate_calls += 1;
+                outcome.bad_answers += u64::from(self.call_candidate(index, state));
+            } else {
+                self.call_stable(state);
+            }
+        }
+        outcome.readings = self.readings(tick);
+        outcome
+    }
+
+    fn draw_calls(&mut self) -> u64 {
+        let poisson = Poisson::new(self.site.calls_per_second).expect("the rate is positive");
+        poisson.sample(&mut self.rng) as u64
+    }
+
+    fn count_targets(&self, candidate: u32) -> VersionTargets {
+        VersionTargets {
+            candidate,
+            candidate_slots: candidate * self.site.slots,
+            stable: self.site.targets,
+            stable_slots: self.site.targets * self.site.slots,
+        }
+    }
+
+    fn disturb(&mut self, tick: u32) {
+        let now = f64::from(tick);
+        if self.scenario.common_cause
+            && now >= self.common_until
+            && let Some(length) = begin(&mut self.rng, COMMON_INTERVAL, COMMON_LENGTH)
+        {
+            self.common_until = now + length;
+        }
+        if self.scenario.noisy_neighbours {
+            for target in self.stable.iter_mut().chain(&mut self.candidate) {
+                if now < target.noisy_until {
+                    continue;
+                }
+                if let Some(length) = begin(&mut self.rng, NOISE_INTERVAL, NOISE_LENGTH) {
+                    target.noisy_until = now + length;
+                }
+            }
+        }
+        if self.scenario.target_crash && tick == self.crash_at {
+            let with_node = self.rng.random_bool(0.5);
+            crash(&mut self.candidate[0], tick, with_node, self.site);
+        }
+    }
+
+    fn call_stable(&mut self, state: TickState) {
+        let index = self.rng.random_range(0..self.stable.len());
+        let route = self.draw_route();
+        let target = &mut self.stable[index];
+        let slowdown = surroundings(target, state);
+        let failure = if state.common {
+            COMMON_FAILURE
+        } else {
+            BASE_FAILURE
+        };
+        answer(
+            target,
+            &self.site.routes[route],
+            failure,
+            slowdown,
+            &mut self.rng,
+        );
+    }
+
+    /// Returns whether the fault of the candidate made the answer bad.
+    fn call_candidate(&mut self, index: usize, state: TickState) -> bool {
+        let route = self.draw_route();
+        let (fault_failure, fault_slowdown) = self.fault_of(route, state);
+        let target = &mut self.candidate[index];
+        let mut slowdown = surroundings(target, state) * fault_slowdown;
+        if self.scenario.cold_start {
+            slowdown *= 1.0 + (COLD_SLOWDOWN - 1.0) * (-(target.calls as f64) / COLD_CALLS).exp();
+        }
+        target.calls += 1;
+        let failure = if state.common {
+            COMMON_FAILURE
+        } else {
+            BASE_FAILURE
+        };
+        let failure = failure.max(fault_failure);
+        let failed = answer(
+            target,
+            &self.site.routes[route],
+            failure,
+            slowdown,
+            &mut self.rng,
+        );
+        fault_slowdown > 1.0 || (failed && fault_failure > 0.0)
+    }
+
+    fn fault_of(&self, route: usize, state: TickState) -> (f64, f64) {
+        let Some(fault) = self.scenario.fault else {
+            return (0.0, 1.0);
+        };
+        let on_route = !fault.last_route_only || route + 1 == self.site.routes.len();
+        let shows = match fault.when {
+            FaultTime::AtOnce => true,
+            FaultTime::Later => state.tick >= self.fault_from,
+            FaultTime::UnderLoad(load) => state.target_load > load,
+        };
+        if on_route && shows {
+            (fault.failure, fault.slowdown)
+        } else {
+            (0.0, 1.0)
+        }
+    }
+
+    fn draw_route(&mut self) -> usize {
+        let mut draw: f64 = self.rng.random();
+        for (index, route) in self.site.routes.iter().enumerate() {
+            draw -= route.share;
+            if draw < 0.0 {
+                return index;
+            }
+        }
+        self.site.routes.len() - 1
+    }
+
+    fn readings(&self, tick: u32) -> Vec<CounterReading> {
+        let key = key();
+        self.stable
+            .iter()
+            .chain(&self.candidate)
+            .filter(|target| target.away_until <= tick)
+            .map(|target| CounterReading {
+                node: target.node.clone(),
+                reply: EvidenceReply {
+                    incarnation: target.incarnation,
+                    counters: target.table.counters_of(&key),
+                },
+            })
+            .collect()
+    }
+}
+
+fn key() -> ServiceKey {
+    ServiceKey {
+        customer: "customer".to_owned(),
+        service: "service".to_owned(),
+    }
+}
+
+fn targets(site: &Site, version: &'static str, rng: &mut ChaCha8Rng) -> Vec<SimulatedTarget> {
+    let speeds = LogNormal::new(0.0, VM_SPREAD).expect("the spread is finite");
+    (0..site.targets)
+        .map(|index| SimulatedTarget {
+            node: format!("{version}-{index}"),
+            version,
+            speed: speeds.sample(rng),
+            calls: 0,
+            noisy_until: 0.0,
+            away_until: 0,
+            incarnation: 1,
+            table: EvidenceTable::default(),
+        })
+        .collect()
+}
+
+/// Returns the length of a disturbance if one begins in this second.
+fn begin(rng: &mut ChaCha8Rng, interval: f64, length: f64) -> Option<f64> {
+    let begins = rng.random_bool(1.0 / interval);
+    begins.then(|| {
+        let lengths = Exp::new(1.0 / length).expect("the length is positive");
+        lengths.sample(rng)
+    })
+}
+
+/// If the node crashes with its target, its counters start again from zero. Otherwise the node counts the
+/// calls in progress as failed.
+fn crash(target: &mut SimulatedTarget, tick: u32, with_node: bool, site: &Site) {
+    target.away_until = tick + CRASH_LENGTH;
+    target.calls = 0;
+    if with_node {
+        target.incarnation += 1;
+        target.table = EvidenceTable::default();
+        return;
+    }
+    for _ in 0..site.slots / 3 {
+        target.table.record(CallObservation {
+            key: key(),
+            version: target.version.to_owned(),
+            route: site.routes[0].name.to_owned(),
+            failed: true,
+            latency: Duration::from_secs_f64(site.routes[0].median_ms / 1000.0),
+        });
+    }
+}
+
+fn surroundings(target: &SimulatedTarget, state: TickState) -> f64 {
+    let mut slowdown = target.speed;
+    if f64::from(state.tick) < target.noisy_until {
+        slowdown *= NOISE_SLOWDOWN;
+    }
+    if state.common {
+        slowdown *= COMMON_SLOWDOWN;
+    }
+    slowdown
+}
+
+fn answer(
+    target: &mut SimulatedTarget,
+    route: &SiteRoute,
+    failure: f64,
+    slowdown: f64,
+    rng: &mut ChaCha8Rng,
+) -> bool {
+    let spread = LogNormal::new(0.0, LATENCY_SPREAD).expect("the spread is finite");
+    let latency_ms = route.median_ms * slowdown * spread.sample(rng);
+    let failed = rng.random_bool(failure);
+    target.table.record(CallObservation {
+        key: key(),
+        version: target.version.to_owned(),
+        route: route.name.to_owned(),
+        failed,
+        latency: Duration::from_secs_f64(latency_ms / 1000.0),
+    });
+    failed
+}
--- /dev/null
+++ b/experiments/src/moves/scenario.rs
@@ -0,0 +1,201 @@
+//! Services and kinds of candidate that the experiment runs.
+
+use {
+    poplarwing::config::{MovePolicy, MovePreference},
+    std::time::Duration,
+};
+
+/// A service with its callers.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Name in the figures.
+    pub name: &'static str,
+    /// Targets of each version.
+    pub targets: u32,
+    /// Slots of each target.
+    pub slots: u32,
+    /// Calls per second over all routes.
+    pub calls_per_second: f64,
+    /// Routes.
+    pub routes: Vec<SiteRoute>,
+    /// Rules for moves.
+    pub policy: MovePolicy,
+}
+
+/// A route of a service.
+#[derive(Clone, Debug)]
+pub struct SiteRoute {
+    /// Name of the route.
+    pub name: &'static str,
+    /// Share of the service's calls.
+    pub share: f64,
+    /// Median latency in milliseconds.
+    pub median_ms: f64,
+}
+
+fn route(name: &'static str, share: f64, median_ms: f64) -> SiteRoute {
+    SiteRoute {
+        name,
+        share,
+        median_ms,
+    }
+}
+
+/// Returns the services, by the sizes of section 1.6 of the design.
+pub fn sites() -> Vec<Site> {
+    let policy = |prefer| MovePolicy {
+        prefer,
+        finish_within: Duration::from_secs(600),
+        canary_permille: 50,
+        watch_for: Duration::from_secs(120),
+    };
+    let kestrel = Site {
+        name: "kestrel",
+        targets: 4,
+        slots: 6,
+        calls_per_second: 12.0,
+        routes: vec![
+            route("jobs", 0.7, 60.0),
+            route("signoff", 0.2, 90.0),
+            route("survey", 0.1, 400.0),
+        ],
+        policy: policy(MovePreference::Safety),
+    };
+    let vanderhaegen = Site {
+        name: "vanderhaegen",
+        targets: 4,
+        slots: 12,
+        calls_per_second: 90.0,
+        routes: vec![
+            route("lookup", 0.8, 25.0),
+            route("order", 0.15, 60.0),
+            route("photo", 0.05, 250.0),
+        ],
+        policy: policy(MovePreference::Punctuality),
+    };
+    vec![kestrel, vanderhaegen]
+}
+
+/// What is wrong with a candidate.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    /// Probability that a call fails.
+    pub failure: f64,
+    /// Factor of the latency.
+    pub slowdown: f64,
+    /// When the fault shows.
+    pub when: FaultTime,
+    /// Whether only the last route is concerned.
+    pub last_route_only: bool,
+}
+
+/// When a fault shows.
+#[derive(Clone, Copy, Debug)]
+pub enum FaultTime {
+    /// From the first call.
+    AtOnce,
+    /// From a random moment of the move.
+    Later,
+    /// While a target's call rate is above this share of its later rate.
+    UnderLoad(f64),
+}
+
+/// A kind of candidate and its surroundings.
+#[derive(Clone, Debug, Default)]
+pub struct Scenario {
+    /// Name in the figures.
+    pub name: &'static str,
+    /// What is wrong with the candidate; none for a good one.
+    pub fault: Option<Fault>,
+    /// Whether the first calls of each new target are slow.
+    pub cold_start: bool,
+    /// Whether single targets of both versions are slow for a while.
+    pub noisy_neighbours: bool,
+    /// Whether both versions fail and are slow together for a while.
+    pub common_cause: bool,
+    /// Whether one candidate target crashes and returns with new counters.
+    pub target_crash: bool,
+}
+
+impl Scenario {
+    /// Returns whether the candidate is bad.
+    pub fn is_bad(&self) -> bool {
+        self.fault.is_some()
+    }
+}
+
+fn good(name: &'static str) -> Scenario {
+    Scenario {
+        name,
+        ..Scenario::default()
+    }
+}
+
+/// Every bad candidate also has cold starts, which must not hide its fault.
+fn bad(name: &'static str, failure: f64, slowdown: f64, when: FaultTime) -> Scenario {
+    Scenario {
+        name,
+        cold_start: true,
+        fault: Some(Fault {
+            failure,
+            slowdown,
+            when,
+            last_route_only: false,
+        }),
+        ..Scenario::default()
+    }
+}
+
+fn bad_on_one_route(name: &'static str, failure: f64, slowdown: f64) -> Scenario {
+    Scenario {
+        name,
+        cold_start: true,
+        fault: Some(Fault {
+            failure,
+            slowdown,
+            when: FaultTime::AtOnce,
+            last_route_only: true,
+        }),
+        ..Scenario::default()
+    }
+}
+
+/// Returns the kinds of candidate.
+pub fn scenarios() -> Vec<Scenario> {
+    vec![
+        good("good_plain"),
+        Scenario {
+            cold_start: true,
+            ..good("good_cold_start")
+        },
+        Scenario {
+            noisy_neighbours: true,
+            ..good("good_noisy_neighbours")
+        },
+        Scenario {
+            common_cause: true,
+            ..good("good_common_cause")
+        },
+        Scenario {
+            target_crash: true,
+            ..good("good_target_crash")
+        },
+        Scenario {
+            cold_start: true,
+            noisy_neighbours: true,
+            common_cause: true,
+            target_crash: true,
+            ..good("good_everything")
+        },
+        bad("fails_all_at_once", 1.0, 1.0, FaultTime::AtOnce),
+        bad("fails_some_at_once", 0.2, 1.0, FaultTime::AtOnce),
+        bad("fails_later", 0.3, 1.0, FaultTime::Later),
+        bad("slow_at_once", 0.0, 3.0, FaultTime::AtOnce),
+        bad("slow_later", 0.0, 3.0, FaultTime::Later),
+        bad("slow_under_load", 0.0, 3.0, FaultTime::UnderLoad(0.6)),
+        bad("fails_under_load", 0.2, 1.0, FaultTime::UnderLoad(0.6)),
+        bad_on_one_route("fails_on_one_route", 0.5, 1.0),
+        bad_on_one_route("slow_on_one_route", 0.0, 3.0),
+        bad("small_regression", 0.03, 1.3, FaultTime::AtOnce),
+    ]
+}
