Assemble the node and its daemon

Cause: the parts existed only one by one. Requests to the store are boxed, since the future of an AsyncFn is not provably Send. Conclusion: builds; not yet run as a process.

--- a/src/admin_types.rs
+++ b/src/admin_types.rs
@@ -12,29 +12,9 @@
     },
     derive_more::Display,
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
 };
 
-/// Announcement of a target to the node beside it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct TargetAnnouncementBody {
-    /// Customer that owns the service.
-    pub customer: CustomerName,
-    /// Service that the target serves.
-    pub service: ServiceName,
-    /// Version that the target runs.
-    pub version: VersionName,
-    /// Address at which the target serves.
-    pub address: SocketAddr,
-    /// Calls that the target can run at once.
-    pub slots: u32,
-    /// Connections that the target accepts at once.
-    pub connections: u32,
-    /// Whether the target asks for no new work.
-    #[serde(default)]
-    pub draining: bool,
-}
+pub use crate::target_client::TargetAnnouncementBody;
 
 /// Request to start a version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod move_verdict;
 pub mod node;
 pub mod node_metrics;
+pub mod node_run;
 pub mod once_record;
 pub mod operator_cli;
 pub mod operator_client;
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        call_events::ReasonCode,
         config::ServiceKey,
         ids::{ConfigVersion, VersionName},
     },
@@ -177,7 +178,7 @@
     }
 
     /// Counts a refusal by its code; codes are constants, so the number of series stays small.
-    pub fn count_refusal(&self, reason: &'static str) {
+    pub fn count_refusal(&self, reason: ReasonCode) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
--- a/src/platform_store.rs
+++ b/src/platform_store.rs
@@ -20,6 +20,7 @@
     aws_smithy_types::{retry::RetryConfig as SdkRetry, timeout::TimeoutConfig},
     bytes::Bytes,
     derive_more::Display,
+    futures::{FutureExt, future::BoxFuture},
     object_store::{
         BackoffConfig, ClientOptions, Error as ObjectError, ObjectStoreExt, RetryConfig,
         aws::{AmazonS3, AmazonS3Builder},
@@ -201,8 +202,7 @@
 
     /// Reads one item, consistently.
     pub async fn get(&self, key: &ItemKey) -> Result<Option<TableItem>, StoreError> {
-        self.repeat_harmless(async || self.get_once(key).await)
-            .await
+        self.repeat_harmless(|| self.get_once(key).boxed()).await
     }
 
     /// Reads up to `limit` items of a partition in order of their sort key, beginning with `from_sk`.
@@ -214,7 +214,7 @@
         from_sk: &str,
         limit: u32,
     ) -> Result<Vec<TableItem>, StoreError> {
-        self.repeat_harmless(async || self.list_once(pk, from_sk, limit).await)
+        self.repeat_harmless(|| self.list_once(pk, from_sk, limit).boxed())
             .await
     }
 
@@ -227,13 +227,13 @@
         writes: Vec<TableWrite>,
         token: &str,
     ) -> Result<TransactOutcome, StoreError> {
-        self.repeat_harmless(async || self.transact_once(&writes, token).await)
+        self.repeat_harmless(|| self.transact_once(&writes, token).boxed())
             .await
     }
 
     /// Executes a single write, which costs half the capacity of a transaction.
     pub async fn write(&self, write: TableWrite) -> Result<TransactOutcome, StoreError> {
-        self.repeat_harmless(async || self.write_once(&write).await)
+        self.repeat_harmless(|| self.write_once(&write).boxed())
             .await
     }
 
@@ -268,9 +268,11 @@
     /// Repeats a request after an answer, or the lack of a connection, that rules out any effect.
     ///
     /// Requests that ran into their time limit are not repeated, so that a slow store gets no more load.
-    async fn repeat_harmless<T>(
-        &self,
-        request: impl AsyncFn() -> Result<T, StoreError>,
+    ///
+    /// The future is boxed, because the compiler cannot prove that the future of an `AsyncFn` is `Send`.
+    async fn repeat_harmless<'a, T>(
+        &'a self,
+        request: impl Fn() -> BoxFuture<'a, Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
         let mut attempt = 1;
         loop {
