Accept a refusal's code in any form it comes in

Cause: the metrics took only static text, the call path has codes that may come from another node. Change: count_refusal takes anything that converts to a ReasonCode. Conclusion: the metrics test compiles again unchanged.

--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -178,8 +178,8 @@
     }
 
     /// Counts a refusal by its code; codes are constants, so the number of series stays small.
-    pub fn count_refusal(&self, reason: ReasonCode) {
-        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    pub fn count_refusal(&self, reason: impl Into<ReasonCode>) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason.into())]);
     }
 
     /// Replaces the shares of all versions, so that versions that are gone leave no series behind.
