Load no certificates for the object store client

Cause: preparing the clients loaded the system's certificates, although TLS is not supported yet. Change: the object store client is built without them.

--- a/src/platform_store.rs
+++ b/src/platform_store.rs
@@ -576,6 +576,8 @@
 fn object_client(section: &PlatformSection) -> Result<AmazonS3, StoreError> {
     let options = ClientOptions::new()
         .with_allow_http(true)
+        // Without TLS there is nothing to verify, and loading the certificates takes long.
+        .with_no_system_certificates(true)
         .with_connect_timeout(CONNECT_TIMEOUT.min(section.request_timeout))
         .with_timeout(section.request_timeout);
     let retries = RetryConfig {
