Test commits under races and outages

Cause: conflicts, rebases and the settling of lost answers were tested for single cases only. Change: racing operators, contract revisions, outages before and after the transaction, and a property over generated rounds of three operators with lost and dropped writes. The stand-in can go down right after a write took effect.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -54,6 +54,8 @@
     pub lose_table_answers: u32,
     /// Number of object writes still to take effect without an answer.
     pub lose_object_answers: u32,
+    /// Goes down right after the next table write took effect, without an answer.
+    pub down_after_table_write: bool,
     /// Number of table writes still to be dropped before they take effect.
     pub drop_table_writes: u32,
 }
@@ -327,12 +329,22 @@
 
     fn loses_answer(&self, kind: RequestKind) -> bool {
         match kind {
-            RequestKind::TableWrite => self.take(|plan| &mut plan.lose_table_answers),
+            RequestKind::TableWrite => {
+                self.goes_down() || self.take(|plan| &mut plan.lose_table_answers)
+            }
             RequestKind::ObjectWrite => self.take(|plan| &mut plan.lose_object_answers),
             RequestKind::TableRead | RequestKind::ObjectRead => false,
         }
     }
 
+    fn goes_down(&self) -> bool {
+        let mut plan = lock(&self.faults);
+        let due = plan.down_after_table_write;
+        plan.down |= due;
+        plan.down_after_table_write = false;
+        due
+    }
+
     /// Uses up one of the faults counted by a field; returns whether there was one left.
     fn take(&self, field: impl FnOnce(&mut FaultPlan) -> &mut u32) -> bool {
         let mut plan = lock(&self.faults);
--- a/tests/store_commit.rs
+++ b/tests/store_commit.rs
@@ -1,16 +1,53 @@
 //! Commits to the configuration store while operators race and the platform fails.
 
 use {
-    poplarwing::config_store::{CommitError, ConfigStore},
-    poplarwing_standins::platform::FaultPlan,
-    std::sync::Arc,
+    bolero::generator::bolero_generator::{TypeGenerator, produce},
+    futures::future::join_all,
+    poplarwing::{
+        config::{ConfigError, ConfigSnapshot},
+        config_store::{AuditRecord, CommitError, ConfigChange, ConfigStore, ContractWrite},
+    },
+    poplarwing_standins::platform::{FaultPlan, PlatformStandin},
+    std::{collections::BTreeSet, sync::Arc},
+    support::store::{
+        any_port, cases, customer_change, eventually, split_without_service, start_platform,
+        store_of, write_faults,
+    },
 };
 
 mod support {
     pub mod store;
 }
 
-use support::store::{customer_change, start_platform, store_of};
+/// Cases of the property.
+const CASES: u64 = 10;
+
+/// Customers whose limits the operators of the property change.
+const CUSTOMERS: [&str; 3] = ["kestrel", "vanderhaegen", "other"];
+
+fn contract_change(text: &str, expected_revision: u64) -> ConfigChange {
+    let mut change = customer_change(Arc::default(), "kestrel", 10);
+    change.changed.clear();
+    change.summary = text.to_owned();
+    change.contract = Some(ContractWrite {
+        customer: "kestrel".to_owned(),
+        text: text.to_owned(),
+        expected_revision,
+    });
+    change
+}
+
+/// Checks that the audit records lead from nothing to the head, version by version.
+async fn check_records(config: &ConfigStore) -> Vec<AuditRecord> {
+    let head = config.head().await.unwrap();
+    let records = config.audit(1, u32::MAX).await.unwrap();
+    let mut snapshot = ConfigSnapshot::default();
+    for record in &records {
+        snapshot = snapshot.with_delta(&record.delta).unwrap();
+    }
+    assert_eq!(snapshot, config.load(&head).await.unwrap());
+    records
+}
 
 #[tokio::test]
 async fn versions_and_audit_records_have_no_gaps() {
@@ -67,3 +104,220 @@
     assert_eq!(config.audit(1, 10).await.unwrap().len(), 1);
     assert_eq!(platform.faults().lose_table_answers, 0);
 }
+
+/// Guards against lost updates: of the operators that race for one resource, one wins.
+#[tokio::test]
+async fn one_of_several_racing_operators_wins() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let changes = (1..=6).map(|rate| customer_change(Arc::default(), "kestrel", rate));
+
+    let outcomes = join_all(changes.map(|change| config.commit(change))).await;
+
+    let records = check_records(&config).await;
+    assert_eq!(records.len(), 1);
+    assert_eq!(outcomes.iter().filter(|outcome| outcome.is_ok()).count(), 1);
+    for outcome in outcomes.iter().filter(|outcome| outcome.is_err()) {
+        let Err(CommitError::Conflict { theirs, .. }) = outcome else {
+            panic!("expected a conflict, found {outcome:?}");
+        };
+        assert_eq!(**theirs, records[0]);
+    }
+}
+
+/// Guards against conflicts between changes that have nothing to do with each other.
+#[tokio::test]
+async fn changes_of_different_resources_are_rebased() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let names: Vec<String> = (0..6).map(|number| format!("customer-{number}")).collect();
+    let changes = names
+        .iter()
+        .map(|name| customer_change(Arc::default(), name, 10));
+
+    let outcomes = join_all(changes.map(|change| config.commit(change))).await;
+
+    let versions: BTreeSet<u64> = outcomes
+        .into_iter()
+        .map(|outcome| outcome.unwrap().version)
+        .collect();
+    assert_eq!(versions, BTreeSet::from([1, 2, 3, 4, 5, 6]));
+    check_records(&config).await;
+}
+
+/// Guards against a contract text that replaces one which its author has not seen.
+#[tokio::test]
+async fn contracts_conflict_by_their_revision() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    config.commit(contract_change("first", 0)).await.unwrap();
+
+    let raced = config.commit(contract_change("second", 0)).await;
+    let empty = start_platform().await;
+    let missing = ConfigStore::new(store_of(&empty))
+        .commit(contract_change("third", 4))
+        .await;
+
+    let Err(CommitError::Conflict { yours, theirs }) = raced else {
+        panic!("expected a conflict, found {raced:?}");
+    };
+    assert_eq!(
+        (yours.summary.as_str(), theirs.summary.as_str()),
+        ("second", "first")
+    );
+    let stored = config.contract("kestrel").await.unwrap().unwrap();
+    assert_eq!(
+        (stored.revision, stored.version, stored.text.as_str()),
+        (1, 1, "first")
+    );
+    assert!(
+        matches!(missing, Err(CommitError::NoContract { expected: 4, .. })),
+        "{missing:?}"
+    );
+}
+
+/// Guards against accepting a configuration that no node could apply.
+#[tokio::test]
+async fn an_invalid_configuration_is_not_accepted() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let mut change = customer_change(Arc::default(), "kestrel", 10);
+    change.changed = vec![split_without_service()];
+
+    let outcome = config.commit(change).await;
+
+    let cause = ConfigError::MissingReference {
+        resource: "split/kestrel/ledger".to_owned(),
+        missing: "service/kestrel/ledger".to_owned(),
+    };
+    assert!(matches!(outcome, Err(CommitError::Invalid(found)) if found == cause));
+    assert_eq!(platform.counts().object_writes, 0);
+}
+
+/// Guards against an outage before the transaction being reported as an unknown outcome.
+#[tokio::test]
+async fn nothing_is_accepted_while_the_store_is_down() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let change = customer_change(Arc::default(), "kestrel", 10);
+    platform.set_faults(FaultPlan {
+        down: true,
+        ..FaultPlan::default()
+    });
+
+    let outcome = config.commit(change.clone()).await;
+
+    let Err(CommitError::Store(error)) = outcome else {
+        panic!("expected an error of the store, found {outcome:?}");
+    };
+    assert!(!error.may_have_taken_effect(), "{error}");
+    platform.set_faults(FaultPlan::default());
+    assert_eq!(config.commit(change).await.unwrap().version, 1);
+}
+
+async fn commit_into_outage(platform: &PlatformStandin, config: &ConfigStore) -> ConfigChange {
+    platform.set_faults(FaultPlan {
+        down_after_table_write: true,
+        ..FaultPlan::default()
+    });
+    assert_eq!(config.head().await.unwrap().version, 0);
+    customer_change(Arc::default(), "kestrel", 10)
+}
+
+/// Guards against an outage right after the transaction being reported as "not accepted".
+#[tokio::test]
+async fn an_outage_after_the_transaction_leaves_the_outcome_open() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let change = commit_into_outage(&platform, &config).await;
+
+    let outcome = config.commit(change).await;
+
+    let Err(CommitError::Store(error)) = outcome else {
+        panic!("expected an error of the store, found {outcome:?}");
+    };
+    assert!(error.may_have_taken_effect(), "{error}");
+    platform.set_faults(FaultPlan::default());
+    assert_eq!(check_records(&config).await.len(), 1);
+}
+
+/// Guards against a second version after an outage that ends while the commit is being settled.
+#[tokio::test]
+async fn a_commit_is_settled_when_the_outage_ends() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let change = commit_into_outage(&platform, &config).await;
+
+    let recovery = async {
+        eventually(async || platform.faults().down).await;
+        platform.set_faults(FaultPlan::default());
+    };
+    let (outcome, ()) = tokio::join!(config.commit(change), recovery);
+
+    assert_eq!(outcome.unwrap().version, 1);
+    assert_eq!(check_records(&config).await.len(), 1);
+}
+
+/// A change by one of several operators, with the faults of the port that it uses.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+struct OperatorMove {
+    customer: u8,
+    lost: u8,
+    dropped: u8,
+}
+
+/// Guards against lost, doubled or torn versions when operators race and answers are lost.
+#[tokio::test]
+async fn each_accepted_change_has_exactly_one_version() {
+    let mut accepted = 0;
+    let mut conflicts = 0;
+    for rounds in cases(produce::<Vec<[OperatorMove; 3]>>(), CASES) {
+        let platform = start_platform().await;
+        let config = ConfigStore::new(store_of(&platform));
+        let mut ports = Vec::new();
+        for _ in 0..3 {
+            ports.push(platform.open_port(any_port()).await.unwrap());
+        }
+        let operators: Vec<ConfigStore> = ports
+            .iter()
+            .map(|port| ConfigStore::new(store_of(port)))
+            .collect();
+        let mut expected = BTreeSet::new();
+        for (number, round) in rounds.iter().take(4).enumerate() {
+            let head = config.head().await.unwrap();
+            let base = Arc::new(config.load(&head).await.unwrap());
+            let outcomes = join_all(round.iter().enumerate().map(async |(operator, step)| {
+                ports[operator].set_faults(write_faults(
+                    u32::from(step.lost % 3),
+                    u32::from(step.dropped % 3),
+                ));
+                let rate = 1 + 10 * number as u64 + operator as u64;
+                let customer = CUSTOMERS[usize::from(step.customer % 3)];
+                let change = customer_change(Arc::clone(&base), customer, rate);
+                let summary = change.summary.clone();
+                let outcome = operators[operator].commit(change).await;
+                outcome.map(|snapshot| (snapshot.version, summary))
+            }));
+            for outcome in outcomes.await {
+                match outcome {
+                    Ok(found) => {
+                        accepted += 1;
+                        assert!(expected.insert(found), "{rounds:?}");
+                    }
+                    Err(CommitError::Conflict { .. }) => conflicts += 1,
+                    Err(error) => panic!("{error}"),
+                }
+            }
+        }
+        let records = check_records(&config).await;
+        let found: BTreeSet<(u64, String)> = records
+            .into_iter()
+            .map(|record| (record.version, record.summary))
+            .collect();
+        assert_eq!(found, expected, "{rounds:?}");
+    }
+    assert!(
+        accepted > 0 && conflicts > 0,
+        "{accepted} accepted, {conflicts} conflicts"
+    );
+}
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -9,7 +9,10 @@
         driver::{Options, Rng},
     },
     poplarwing::{
-        config::{CallLimits, ConfigSnapshot, ContractLimit, CustomerSpec},
+        config::{
+            CallLimits, ConfigResource, ConfigSnapshot, ContractLimit, CustomerSpec, ServiceKey,
+            TrafficSplit,
+        },
         config_store::{ChangeAuthor, ConfigChange},
         platform_store::PlatformStore,
         settings::{GossipSection, LogSection, NodeSection, NodeSettings, PlatformSection},
@@ -101,6 +104,19 @@
     }
 }
 
+/// Returns a resource that refers to a service which no configuration of these tests has.
+pub fn split_without_service() -> ConfigResource {
+    ConfigResource::Split(TrafficSplit {
+        key: ServiceKey {
+            customer: "kestrel".to_owned(),
+            service: "ledger".to_owned(),
+        },
+        stable: "v1".to_owned(),
+        candidate_permille: 0,
+        current_move: None,
+    })
+}
+
 /// Generates values from consecutive seeds, so that every run sees the same cases.
 pub fn cases<G: ValueGenerator>(generator: G, count: u64) -> impl Iterator<Item = G::Output> {
     let options = Options::default();
