Test the membership among hundreds of simulated nodes

Cause: the protocol was untested, and the simulation showed four faults. A change of target was not passed on by members that had missed the change before it. A node cut off alone took more than 120 probe intervals to see the others alive again. A node that hears nobody could have live peers declared dead at others. A refutation travelled by probes alone and took about as long as the suspicion lasts. Change: changes of demand are counted in the low bits of the sequence; dead members are pinged faster while some return; a ping about a node is answered with its record; a death that no suspicion preceded counts as a suspicion; suspects are told directly, and a node that hears nobody blames itself first.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -171,7 +171,7 @@
         let mut news = 0;
         self.act(|machine, now, tables| {
             if reply.incarnation >= machine.own().incarnation {
-                machine.raise_incarnation(reply.incarnation + 1, tables);
+                machine.raise_incarnation(reply.incarnation.saturating_add(1), tables);
             }
             news = machine.merge_members(&reply.members, now, tables);
             MachineOutput::default()
--- a/src/gossip/machine.rs
+++ b/src/gossip/machine.rs
@@ -16,11 +16,11 @@
         veto_table::{VetoRecord, VetoTable},
         wire::{
             Ack, EventBody, GossipEvent, GossipKind, GossipPacket, MAX_PACKET_BYTES, MemberEvent,
-            PROTOCOL_VERSION, Ping, PingRequest, Push,
+            PROTOCOL_VERSION, Ping, PingRequest, Push, VetoEvent,
         },
     },
     prost::Message,
-    rand::{Rng, SeedableRng, rngs::StdRng},
+    rand::{Rng, SeedableRng, rngs::StdRng, seq::IteratorRandom},
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -49,9 +49,28 @@
 /// Probe intervals between two attempts to reach a dead member and an unknown seed.
 const RECONNECT_INTERVALS: u32 = 10;
 
+/// Dead members pinged in each probe interval while dead members return. With one ping in ten intervals
+/// a node that had been cut off alone still held members for dead 120 intervals after the cut.
+const RETURN_PINGS: usize = 4;
+
+/// Probe intervals after the last return of a dead member in which further returns are expected.
+const RETURN_INTERVALS: u32 = 10;
+
+/// Low bits of a record's sequence, which count changes of demand. Those go to few nodes directly, and
+/// only a change of the other bits is passed on.
+const DEMAND_BITS: u32 = 20;
+
 /// Probe intervals without a tick after which the process must have been paused.
 const PAUSE_INTERVALS: u32 = 3;
 
+/// Probe intervals for which a node that hears nobody at all blames itself and suspects no one. After
+/// that it suspects, or the last two nodes of a fleet would never notice each other's death.
+const DEAF_INTERVALS: u32 = 10;
+
+/// Members that, on average, tell a suspect of the suspicion directly when they hear of it. A suspicion
+/// that travels by probes alone takes about as long to reach the suspect as it lasts.
+const SUSPECT_PINGS: f64 = 8.0;
+
 /// Time for which a dead or departed member is remembered.
 const DEAD_RETENTION: Duration = Duration::from_secs(6 * 3600);
 
@@ -136,6 +155,8 @@
     relays: BTreeMap<u64, ProbeRelay>,
     suspects: HashMap<Arc<str>, Duration>,
     dead_since: BTreeMap<Arc<str>, Duration>,
+    returned_at: Option<Duration>,
+    heard_at: Duration,
     queue: EventQueue,
 }
 
@@ -163,6 +184,8 @@
             relays: BTreeMap::new(),
             suspects: HashMap::new(),
             dead_since: BTreeMap::new(),
+            returned_at: None,
+            heard_at: now,
             queue: EventQueue::default(),
         };
         machine.enrol_known(now, tables);
@@ -212,12 +235,14 @@
         if packet.sender == self.own.node {
             return output;
         }
+        self.heard_at = now;
         self.note_version(packet, from, tables, &mut output);
-        let is_urgent = self.take_events(&packet.events, now, tables);
+        let effect = self.take_events(&packet.events, now, tables);
         self.answer(packet, from, now, tables, &mut output);
-        if is_urgent {
+        if effect.is_urgent {
             self.push_random(tables, &mut output);
         }
+        self.warn_suspects(&effect.suspects, tables, &mut output);
         output
     }
 
@@ -254,11 +279,12 @@
         }
         let is_news = is_target_news(self.own.target.as_ref(), target.as_ref());
         self.own.target = target;
-        self.own.sequence += 1;
         if is_news {
+            self.own.sequence = next_news(self.own.sequence);
             self.publish_own(tables);
             self.push_random(tables, &mut output);
         } else {
+            self.own.sequence += 1;
             tables.members.merge(self.own.clone());
             self.tell_customer(tables, &mut output);
         }
@@ -283,15 +309,12 @@
     /// Spreads that this node leaves.
     pub fn leave(&mut self, tables: &mut GossipTables<'_>) -> MachineOutput {
         self.own.state = MemberState::Left;
-        self.own.sequence += 1;
+        self.own.sequence = next_news(self.own.sequence);
         self.publish_own(tables);
         self.push(tables)
     }
 
     /// Takes records that a peer sent at join; returns how many were new.
-    ///
-    /// A record that calls a live member dead only makes it suspect: after a partition the peer may
-    /// hold whole domains for dead that this node has just heard from.
     pub fn merge_members(
         &mut self,
         events: &[MemberEvent],
@@ -300,12 +323,7 @@
     ) -> usize {
         let mut news = 0;
         for event in events {
-            let mut event = event.clone();
-            let is_live = tables.members.get(&event.node).is_some_and(is_reachable);
-            if is_live && state_of(&event) == Ok(MemberState::Dead) {
-                event.state = 1;
-            }
-            news += usize::from(self.take_member(&event, now, tables).is_news);
+            news += usize::from(self.take_member(event, now, tables).is_news);
         }
         news
     }
@@ -378,14 +396,12 @@
         output: &mut MachineOutput,
     ) {
         self.rounds += 1;
-        self.finish_probe(now, tables);
+        self.finish_probe(now, tables, output);
         self.expire_suspects(now, tables);
         self.forget_dead(now, tables);
         self.relays.retain(|_, relay| relay.deadline > now);
         self.start_probe(now, tables, output);
-        if self.rounds.is_multiple_of(RECONNECT_INTERVALS) {
-            self.reconnect(tables, output);
-        }
+        self.reconnect(now, tables, output);
         let interval = self.section.probe_interval;
         let planned = self.next_probe_at + interval;
         self.next_probe_at = if planned > now {
@@ -497,7 +513,12 @@
             .choose(tables.members, HELPER_COUNT, &mut self.rng, is_helper)
     }
 
-    fn finish_probe(&mut self, now: Duration, tables: &mut GossipTables<'_>) {
+    fn finish_probe(
+        &mut self,
+        now: Duration,
+        tables: &mut GossipTables<'_>,
+        output: &mut MachineOutput,
+    ) {
         let Some(probe) = self.probe.take() else {
             return;
         };
@@ -505,31 +526,97 @@
             .members
             .get(&probe.peer.node)
             .is_some_and(|record| record.state == MemberState::Alive);
-        if !probe.answered && is_alive {
-            info!(node = %self.own.node, peer = %probe.peer.node, "member did not answer and is suspect");
-            self.claim(&probe.peer.node, MemberState::Suspect, now, tables);
+        if probe.answered || !is_alive || self.is_deaf(&probe, now) {
+            return;
         }
+        info!(node = %self.own.node, peer = %probe.peer.node, "member did not answer and is suspect");
+        self.claim(&probe.peer.node, MemberState::Suspect, now, tables);
+        let number = self.next_number();
+        output.packets.push(self.ping(&probe.peer, number, tables));
     }
 
-    /// Tries to reach one dead member and one seed that no live member uses, so that partitions which
-    /// hold each other for dead find together again.
-    fn reconnect(&mut self, tables: &mut GossipTables<'_>, output: &mut MachineOutput) {
-        let is_dead = |record: &MemberRecord| record.state == MemberState::Dead;
-        let dead = self
-            .roster
-            .choose(tables.members, 1, &mut self.rng, is_dead);
-        for peer in dead {
+    /// Returns whether the silence of a peer may be the fault of this node.
+    fn is_deaf(&self, probe: &ActiveProbe, now: Duration) -> bool {
+        let silent = now.saturating_sub(self.heard_at);
+        let longest = self.section.probe_interval * DEAF_INTERVALS;
+        self.heard_at < probe.started && silent < longest
+    }
+
+    /// Tells some of the members just heard to be suspect, so that they can refute it at once.
+    fn warn_suspects(
+        &mut self,
+        suspects: &[Arc<str>],
+        tables: &GossipTables<'_>,
+        output: &mut MachineOutput,
+    ) {
+        let share = (SUSPECT_PINGS / (self.roster.len() as f64 + 1.0)).min(1.0);
+        for node in suspects {
+            let Some(record) = tables.members.get(node) else {
+                continue;
+            };
+            if self.rng.random_bool(share) {
+                let peer = PeerContact {
+                    node: node.clone(),
+                    address: record.peer_address,
+                };
+                let number = self.next_number();
+                output.packets.push(self.ping(&peer, number, tables));
+            }
+        }
+    }
+
+    /// Tries to reach dead members and a seed that no live member uses, so that partitions which hold
+    /// each other for dead find together again.
+    fn reconnect(
+        &mut self,
+        now: Duration,
+        tables: &mut GossipTables<'_>,
+        output: &mut MachineOutput,
+    ) {
+        let is_due = self.rounds.is_multiple_of(RECONNECT_INTERVALS);
+        let expected = self.section.probe_interval * RETURN_INTERVALS;
+        let is_returning = self.returned_at.is_some_and(|at| now < at + expected);
+        let count = if is_returning {
+            RETURN_PINGS
+        } else {
+            usize::from(is_due)
+        };
+        for peer in self.choose_dead(count, tables) {
             let number = self.next_number();
             output.packets.push(self.ping(&peer, number, tables));
         }
-        if let Some(address) = self.choose_seed(tables) {
-            let number = self.next_number();
-            let own = vec![member_event(full_event(&self.own))];
-            let packet = self.packet(GossipKind::Ping(Ping {}), number, own, tables);
-            output.packets.push(OutgoingPacket { address, packet });
+        if is_due && let Some(address) = self.choose_seed(tables) {
+            self.ping_seed(address, tables, output);
         }
     }
 
+    fn choose_dead(&mut self, count: usize, tables: &GossipTables<'_>) -> Vec<PeerContact> {
+        if count == 0 {
+            return Vec::new();
+        }
+        let dead = self.dead_since.keys().filter_map(|node| {
+            let record = tables.members.get(node)?;
+            let address = record.peer_address;
+            (record.state == MemberState::Dead).then(|| PeerContact {
+                node: node.clone(),
+                address,
+            })
+        });
+        dead.choose_multiple(&mut self.rng, count)
+    }
+
+    fn ping_seed(
+        &mut self,
+        address: SocketAddr,
+        tables: &GossipTables<'_>,
+        output: &mut MachineOutput,
+    ) {
+        let number = self.next_number();
+        let own = vec![member_event(full_event(&self.own))];
+        let packet = self.packet(GossipKind::Ping(Ping {}), number, own, tables);
+        output.packets.push(OutgoingPacket { address, packet });
+    }
+
     fn choose_seed(&mut self, tables: &GossipTables<'_>) -> Option<SocketAddr> {
         let seeds = &self.section.seeds;
         if seeds.is_empty() {
@@ -670,8 +757,8 @@
     ) {
         match &packet.kind {
             Some(GossipKind::Ping(_)) => {
-                let claim = self.correction(packet, tables);
-                let answer = self.ack(&self.own.node.clone(), packet.number, claim, tables);
+                let first = self.corrections(packet, tables);
+                let answer = self.ack(&self.own.node.clone(), packet.number, first, tables);
                 output.packets.push(OutgoingPacket {
                     address: from,
                     packet: answer,
@@ -703,23 +790,25 @@
         }
     }
 
-    /// Returns what this node holds against the sender or knows of a later life of it, so that the
-    /// sender can refute it with a higher incarnation.
-    fn correction(&self, packet: &GossipPacket, tables: &GossipTables<'_>) -> Vec<GossipEvent> {
+    /// Returns what the sender of a ping should hear first.
+    ///
+    /// That is what this node holds against the sender or knows of a later life of it, so that the
+    /// sender can refute it; and the own record, if the sender holds this node for suspect or dead.
+    fn corrections(&self, packet: &GossipPacket, tables: &GossipTables<'_>) -> Vec<GossipEvent> {
+        let mut corrections = Vec::new();
+        let said = said_of(packet, &packet.sender);
+        let known = tables.members.get(&packet.sender);
         if let Some(claim) = claim_about(&packet.sender, tables) {
-            return vec![claim];
+            corrections.push(claim);
+        } else if let (Some(said), Some(known)) = (said, known)
+            && known.incarnation > said.incarnation
+        {
+            corrections.push(member_event(full_event(known)));
         }
-        let said = packet.events.iter().find_map(|event| match &event.body {
-            Some(EventBody::Member(member)) if member.node == packet.sender => Some(member),
-            _ => None,
-        });
-        let known = tables.members.get(&packet.sender);
-        match (said, known) {
-            (Some(said), Some(known)) if known.incarnation > said.incarnation => {
-                vec![member_event(full_event(known))]
-            }
-            _ => Vec::new(),
+        if said_of(packet, &self.own.node).is_some() {
+            corrections.push(member_event(full_event(&self.own)));
         }
+        corrections
     }
 
     fn ack(
@@ -794,34 +883,54 @@
 struct MergeEffect {
     is_news: bool,
     is_urgent: bool,
+    is_suspicion: bool,
+}
+
+/// What taking over the events of a packet changed.
+#[derive(Clone, Debug, Default)]
+struct PacketEffect {
+    is_urgent: bool,
+    suspects: Vec<Arc<str>>,
 }
 
 /// Events.
 impl GossipMachine {
-    /// Takes over events; returns whether one of them must not wait for the next probe.
     fn take_events(
         &mut self,
         events: &[GossipEvent],
         now: Duration,
         tables: &mut GossipTables<'_>,
-    ) -> bool {
-        let mut is_urgent = false;
+    ) -> PacketEffect {
+        let mut total = PacketEffect::default();
         for event in events {
             match &event.body {
                 Some(EventBody::Member(member)) => {
-                    is_urgent |= self.take_member(member, now, tables).is_urgent;
+                    let effect = self.take_member(member, now, tables);
+                    total.is_urgent |= effect.is_urgent;
+                    let suspect = effect.is_suspicion.then_some(&member.node);
+                    let name = suspect.and_then(|node| tables.members.name_of(node));
+                    total.suspects.extend(name);
                 }
                 Some(EventBody::Veto(veto)) => {
-                    let record = veto_of(veto);
-                    if tables.vetoes.add(record) {
-                        self.enqueue(event.clone());
-                        is_urgent = true;
-                    }
+                    total.is_urgent |= self.take_veto(veto, event, tables);
                 }
                 None => {}
             }
         }
-        is_urgent
+        total
+    }
+
+    fn take_veto(
+        &mut self,
+        veto: &VetoEvent,
+        event: &GossipEvent,
+        tables: &mut GossipTables<'_>,
+    ) -> bool {
+        let is_new = tables.vetoes.add(veto_of(veto));
+        if is_new {
+            self.enqueue(event.clone());
+        }
+        is_new
     }
 
     fn take_member(
@@ -834,41 +943,48 @@
             return MergeEffect::default();
         };
         if event.node == self.own.node {
-            self.defend_own(event, state, tables);
-            return MergeEffect::default();
+            let is_urgent = self.defend_own(event, state, tables);
+            return MergeEffect {
+                is_urgent,
+                ..MergeEffect::default()
+            };
         }
         let record = if is_whole(event) {
             record_of(event).ok()
         } else {
             claimed_record(event, state, tables.members)
         };
-        record.map_or_else(MergeEffect::default, |record| {
+        record.map_or_else(MergeEffect::default, |mut record| {
+            soften_death(&mut record, tables.members);
             self.merge_record(record, now, tables)
         })
     }
 
-    /// Answers a claim about this node with a higher incarnation if it would prevail over its record.
+    /// Answers a claim about this node with a higher incarnation if it would prevail over its record;
+    /// returns whether it did.
     fn defend_own(
         &mut self,
         event: &MemberEvent,
         state: MemberState,
         tables: &mut GossipTables<'_>,
-    ) {
+    ) -> bool {
         tables
             .members
             .raise_floor(&event.node, event.applied_version);
         let heard = (event.incarnation, state, event.sequence);
         let own = (self.own.incarnation, self.own.state, self.own.sequence);
-        if heard > own {
-            self.own.incarnation = event.incarnation + 1;
-            info!(
-                node = %self.own.node,
-                claim = %state,
-                incarnation = self.own.incarnation,
-                "refutes a claim about itself"
-            );
-            self.publish_own(tables);
+        if heard <= own {
+            return false;
         }
+        self.own.incarnation = event.incarnation.saturating_add(1);
+        info!(
+            node = %self.own.node,
+            claim = %state,
+            incarnation = self.own.incarnation,
+            "refutes a claim about itself"
+        );
+        self.publish_own(tables);
+        true
     }
 
     fn merge_record(
@@ -895,6 +1011,13 @@
             self.suspects.remove(&name);
         }
         self.set_timers(&name, now, tables);
+        let has_returned = after.state == MemberState::Alive
+            && before
+                .as_ref()
+                .is_some_and(|before| before.state == MemberState::Dead);
+        if has_returned {
+            self.returned_at = Some(now);
+        }
         let effect = effect_of(before.as_ref(), after);
         if effect.is_news {
             self.enqueue(member_event(spread_event(after)));
@@ -963,24 +1086,48 @@
     Some(record)
 }
 
+/// Makes a claim of death a suspicion if the member is not yet suspect here.
+///
+/// A node that hears nobody declares all its peers dead. Where the suspicion came by, it has been refuted
+/// by then; where it did not, the member still gets the time to refute.
+fn soften_death(record: &mut MemberRecord, members: &MemberTable) {
+    let is_alive = members
+        .get(&record.node)
+        .is_some_and(|known| known.state == MemberState::Alive);
+    if is_alive && record.state == MemberState::Dead {
+        record.state = MemberState::Suspect;
+    }
+}
+
+/// Returns the event in which a packet speaks of a node.
+fn said_of<'a>(packet: &'a GossipPacket, node: &str) -> Option<&'a MemberEvent> {
+    packet.events.iter().find_map(|event| match &event.body {
+        Some(EventBody::Member(member)) if member.node == node => Some(member),
+        _ => None,
+    })
+}
+
+/// Returns the sequence of a record that differs from the present one in more than demand.
+fn next_news(sequence: u64) -> u64 {
+    ((sequence >> DEMAND_BITS) + 1) << DEMAND_BITS
+}
+
 fn effect_of(before: Option<&MemberRecord>, after: &MemberRecord) -> MergeEffect {
     let Some(before) = before else {
         return MergeEffect {
             is_news: true,
-            is_urgent: false,
+            ..MergeEffect::default()
         };
     };
-    let is_target_news = is_target_news(before.target.as_ref(), after.target.as_ref());
     let is_news = before.incarnation != after.incarnation
         || before.state != after.state
-        || before.peer_address != after.peer_address
-        || before.forward_address != after.forward_address
-        || is_target_news;
+        || before.sequence >> DEMAND_BITS != after.sequence >> DEMAND_BITS;
     let has_left = before.state != after.state && after.state == MemberState::Left;
-    let is_loss = before.is_available() && !after.is_available() && is_target_news;
+    let has_withdrawn = is_reachable(after) && before.is_available() && !after.is_available();
     MergeEffect {
         is_news,
-        is_urgent: has_left || is_loss,
+        is_urgent: has_left || has_withdrawn,
+        is_suspicion: before.state == MemberState::Alive && after.state == MemberState::Suspect,
     }
 }
 
--- /dev/null
+++ b/tests/gossip_network.rs
@@ -0,0 +1,362 @@
+//! Membership among hundreds of state machines in simulated time; verdicts are in probe intervals.
+
+#[allow(dead_code, reason = "the measurement uses other parts of the driver")]
+#[path = "../experiments/src/simulated_net.rs"]
+mod simulated_net;
+
+use {
+    poplarwing::{
+        config::{MovePhase, ServiceKey, TrafficSplit, VersionMove},
+        membership::{MemberState, TargetRecord},
+        veto_table::VetoRecord,
+        wire::MAX_PACKET_BYTES,
+    },
+    simulated_net::{DOMAIN_COUNT, SimulatedNet, name_of, section},
+};
+
+const SEED: u64 = 11;
+
+fn network(size: usize) -> SimulatedNet {
+    let mut net = SimulatedNet::new(size, SEED, section(4));
+    net.run_rounds(10);
+    net
+}
+
+fn split_by(net: &mut SimulatedNet, is_other_side: impl Fn(usize) -> bool) {
+    for (index, node) in net.nodes.iter_mut().enumerate() {
+        node.side = u8::from(is_other_side(index));
+    }
+}
+
+fn target(draining: bool, demand: u32) -> TargetRecord {
+    TargetRecord {
+        key: ServiceKey {
+            customer: "kestrel".to_owned(),
+            service: "ledger".to_owned(),
+        },
+        version: "v1".to_owned(),
+        slots: 6,
+        connections: 130,
+        draining,
+        demand,
+    }
+}
+
+fn running_split(move_id: u64) -> TrafficSplit {
+    TrafficSplit {
+        key: target(false, 0).key,
+        stable: "v1".to_owned(),
+        candidate_permille: 50,
+        current_move: Some(VersionMove {
+            id: move_id,
+            candidate: "v2".to_owned(),
+            previous: "v1".to_owned(),
+            phase: MovePhase::Canary,
+            started_at_ms: 0,
+            finish_by_ms: 0,
+            reason: String::new(),
+        }),
+    }
+}
+
+/// Guards against suspicions that losses alone cause.
+#[test]
+fn loss_alone_declares_nobody_dead() {
+    let mut net = SimulatedNet::new(300, SEED, section(4));
+    net.loss = 0.05;
+
+    net.run_rounds(120);
+
+    let dead: usize = (0..300)
+        .map(|index| net.count_views(index, MemberState::Dead))
+        .sum();
+    assert_eq!(dead, 0);
+    let refuted = net
+        .nodes
+        .iter()
+        .filter(|node| node.machine.own().incarnation > 1)
+        .count();
+    assert!(refuted <= 1, "{refuted} nodes were suspected at 5% loss");
+}
+
+/// Guards against a death that some members never hear of.
+#[test]
+fn a_death_reaches_every_member() {
+    let mut net = network(300);
+
+    net.stop(17);
+    let rounds = net.rounds_until(30, |net| net.count_views(17, MemberState::Dead) == 299);
+
+    assert!(
+        rounds.is_some_and(|rounds| rounds >= 7),
+        "found after {rounds:?} rounds"
+    );
+}
+
+/// Guards against a node whose incoming packets alone are lost being held for alive for ever, or its
+/// view of the others spreading to them.
+#[test]
+fn a_one_way_cut_leaves_the_other_members_in_agreement() {
+    let mut net = network(200);
+    net.nodes[5].side = 1;
+    net.cuts.insert((0, 1));
+
+    net.run_rounds(60);
+
+    assert_eq!(net.count_views(5, MemberState::Dead), 199);
+    for index in (0..200).filter(|index| *index != 5) {
+        let name = name_of(index);
+        let wrong = net.nodes.iter().enumerate().filter(|(viewer, node)| {
+            *viewer != 5
+                && node
+                    .members
+                    .get(&name)
+                    .is_none_or(|seen| seen.state == MemberState::Dead)
+        });
+        assert_eq!(wrong.count(), 0, "{name} is held for dead");
+    }
+    net.cuts.clear();
+    let rounds = net.rounds_until(120, SimulatedNet::agrees);
+    assert!(rounds.is_some(), "no agreement after the cut");
+}
+
+/// Guards against one bad link between two nodes making either suspect: helpers must reach it.
+#[test]
+fn a_bad_link_is_bridged_by_helpers() {
+    let mut net = network(100);
+    net.nodes[1].side = 1;
+    net.nodes[2].side = 2;
+    net.cuts.extend([(1, 2), (2, 1)]);
+
+    net.run_rounds(200);
+
+    let refuted = net
+        .nodes
+        .iter()
+        .filter(|node| node.machine.own().incarnation > 1)
+        .count();
+    assert_eq!(refuted, 0);
+    assert!(net.agrees());
+}
+
+/// Guards against partitions that hold each other for dead and never speak again, and against a version
+/// accepted on one side staying there.
+#[test]
+fn partitions_merge_and_share_the_version() {
+    let mut net = network(240);
+    split_by(&mut net, |index| index % DOMAIN_COUNT >= 8);
+    net.cuts.extend([(0, 1), (1, 0)]);
+    net.run_rounds(120);
+    assert_eq!(net.count_views(0, MemberState::Dead), 80);
+    assert_eq!(net.count_views(8, MemberState::Dead), 160);
+    net.apply(0, 5);
+    net.run_rounds(12);
+    assert!(
+        net.nodes
+            .iter()
+            .all(|node| node.version == if node.side == 0 { 5 } else { 0 })
+    );
+
+    net.cuts.clear();
+    let versions = net.rounds_until(12, |net| net.share_with(5) == 1.0);
+    let members = net.rounds_until(120, SimulatedNet::agrees);
+
+    assert!(versions.is_some(), "a version stays on one side");
+    assert!(members.is_some(), "members stay dead after the cut ends");
+}
+
+/// Guards against a lost domain, or its return all at once, leaving lasting disagreement or packets
+/// above the limit.
+#[test]
+fn a_domain_dies_and_returns_at_once() {
+    let mut net = network(240);
+    let lost: Vec<usize> = (0..240).filter(|index| index % DOMAIN_COUNT == 3).collect();
+
+    lost.iter().for_each(|index| net.stop(*index));
+    let death = net.rounds_until(60, SimulatedNet::agrees);
+    lost.iter().for_each(|index| net.restart(*index, 4));
+    let birth = net.rounds_until(60, SimulatedNet::agrees);
+
+    assert!(death.is_some(), "deaths are not agreed on");
+    assert!(birth.is_some(), "returns are not agreed on");
+    assert!(net.longest_datagram <= MAX_PACKET_BYTES);
+}
+
+/// Guards against a flapping node whose old lives outlast its newest.
+#[test]
+fn a_flapping_node_ends_in_its_last_state() {
+    let mut net = network(150);
+
+    for flap in 0..8 {
+        net.stop(9);
+        net.run_rounds(1 + flap % 5 * 3);
+        net.restart(9, 20 + flap as usize);
+        net.run_rounds(1 + flap % 3);
+    }
+    let alive = net.rounds_until(40, SimulatedNet::agrees);
+    net.stop(9);
+    let dead = net.rounds_until(40, SimulatedNet::agrees);
+
+    assert!(alive.is_some(), "the last return is not agreed on");
+    assert!(dead.is_some(), "the last stop is not agreed on");
+}
+
+/// Guards against a paused node spreading, when it resumes, that its peers are dead, or going on with an
+/// old version.
+#[test]
+fn a_paused_node_returns_without_harm() {
+    let mut net = network(200);
+    net.apply(0, 3);
+    net.run_rounds(10);
+
+    net.pause(50, 60);
+    net.run_rounds(30);
+    assert_eq!(net.count_views(50, MemberState::Dead), 199);
+    net.apply(1, 4);
+    net.run_rounds(31);
+    let rounds = net.rounds_until(12, |net| net.agrees() && net.share_with(4) == 1.0);
+
+    assert!(rounds.is_some(), "the paused node is not back");
+    let refuted = net
+        .nodes
+        .iter()
+        .filter(|node| node.machine.own().incarnation > 1)
+        .count();
+    assert_eq!(refuted, 1, "the paused node made others refute");
+}
+
+/// Guards against an older announcement prevailing when updates cross and arrive twice.
+#[test]
+fn crossed_and_duplicated_announcements_converge() {
+    let mut net = network(150);
+    net.duplicates = 0.3;
+    net.loss = 0.02;
+
+    for demand in 0..20 {
+        let draining = demand % 2 == 0;
+        net.act(7, |machine, _, tables| {
+            machine.announce_target(Some(target(draining, demand)), tables)
+        });
+        net.run_rounds(demand % 2);
+    }
+    let last = target(false, 19);
+    let holds = |net: &SimulatedNet| {
+        net.nodes.iter().all(|node| {
+            let seen = node.members.get(&name_of(7));
+            seen.and_then(|record| record.target.as_ref()) == Some(&last)
+        })
+    };
+
+    assert!(net.rounds_until(30, holds).is_some());
+}
+
+/// Guards against a change of demand being told to the whole fleet, which exceeds the control budget.
+#[test]
+fn demand_goes_to_nodes_of_the_same_customer_only() {
+    let mut net = network(150);
+    for index in 0..6 {
+        net.act(index, |machine, _, tables| {
+            machine.announce_target(Some(target(false, 1)), tables)
+        });
+    }
+    net.run_rounds(20);
+
+    net.act(0, |machine, _, tables| {
+        machine.announce_target(Some(target(false, 9)), tables)
+    });
+    net.run_rounds(2);
+
+    let demand_at = |index: usize| {
+        let record = net.nodes[index].members.get(&name_of(0));
+        record
+            .and_then(|record| record.target.as_ref())
+            .map(|target| target.demand)
+    };
+    assert!((1..6).all(|index| demand_at(index) == Some(9)));
+    let told = (6..150)
+        .filter(|index| demand_at(*index) == Some(9))
+        .count();
+    assert!(told <= 4, "{told} nodes of no customer were told");
+}
+
+/// Guards against a departing target getting work for longer than a few seconds.
+#[test]
+fn departure_and_veto_reach_all_within_two_rounds() {
+    let mut net = network(300);
+    let veto = VetoRecord {
+        key: target(false, 0).key,
+        move_id: 8,
+        issuer: name_of(2),
+        reason: "failures".repeat(100),
+    };
+
+    net.act(1, |machine, _, tables| machine.leave(tables));
+    net.act(2, |machine, _, tables| machine.spread_veto(veto, tables));
+    net.stop(1);
+    net.run_rounds(2);
+
+    let left = net.count_views(1, MemberState::Left);
+    assert!(left >= 297, "{left} of 299 know of the departure");
+    let split = running_split(8);
+    let vetoed = net
+        .nodes
+        .iter()
+        .filter(|node| node.vetoes.against(&split).is_some());
+    assert!(vetoed.count() >= 298);
+}
+
+/// Guards against a record of an earlier life prevailing over a node that restarted with too low an
+/// incarnation because the peer it joined through had forgotten it.
+#[test]
+fn a_restart_through_a_forgetful_peer_ends_above_the_remembered_incarnation() {
+    let mut net = network(100);
+    for _ in 0..5 {
+        net.stop(9);
+        net.restart(9, 3);
+        net.run_rounds(3);
+    }
+    let before = net.nodes[9].machine.own().incarnation;
+    net.nodes[60].members.forget(&name_of(9));
+
+    net.stop(9);
+    net.restart(9, 60);
+    assert!(net.nodes[9].machine.own().incarnation <= before);
+    net.run_rounds(40);
+
+    assert!(net.nodes[9].machine.own().incarnation > before);
+    assert!(net.agrees());
+}
+
+/// Guards against dead members being kept for ever.
+#[test]
+fn dead_members_are_forgotten_and_their_floors_pruned() {
+    let mut net = SimulatedNet::new(8, SEED, section(4));
+    net.apply(7, 3);
+    net.run_rounds(10);
+    net.stop(7);
+    net.run_rounds(40);
+    assert_eq!(net.count_views(7, MemberState::Dead), 7);
+    assert!((0..7).any(|index| net.nodes[index].members.floor_of(&name_of(7)) == 3));
+
+    net.run_rounds(7 * 3600);
+
+    for node in net.nodes.iter().take(7) {
+        assert!(node.members.get(&name_of(7)).is_none());
+        assert_eq!(node.members.floor_of(&name_of(7)), 0);
+        assert_eq!(node.machine.own().incarnation, 1);
+    }
+}
+
+/// Guards against a version that stays within the failure domain that holds nearly all members.
+#[test]
+fn a_version_crosses_from_a_domain_that_holds_nearly_all_members() {
+    let is_foreign = |index: usize| index >= 238;
+    let domain_of = move |index: usize| usize::from(is_foreign(index));
+    let mut net = SimulatedNet::with_domains(240, SEED, section(4), domain_of);
+    net.run_rounds(10);
+
+    net.apply(0, 2);
+    net.run_rounds(1);
+
+    assert!((238..240).all(|index| net.nodes[index].version == 2));
+}
