--- a/tests/support/admin_fixture.rs
+++ b/tests/support/admin_fixture.rs
@@ -2,6 +2,7 @@
 //!
 //! The store follows the rules of the design page: a commit whose base is no longer the head is rebased if
 //! none of its resources changed since, and it checks the revision of the contract.
+#![allow(dead_code, reason = "each test file uses a part of the fixture")]
 
 use {
     parking_lot::Mutex,
