Bound the time to read a request of the operator API

Cause: a client that sends nothing, or half a body, held a connection and its task for ever. Change: the head of a request and its body must each arrive within 10 s. Conclusion: the bound holds by construction; it is not tested, because a test would have to wait for it.

--- a/src/admin_api.rs
+++ b/src/admin_api.rs
@@ -23,21 +23,29 @@
     futures::{FutureExt, future::BoxFuture},
     http::header::AUTHORIZATION,
     http_body_util::Full,
+    hyper_util::{
+        rt::{TokioExecutor, TokioTimer},
+        server::conn::auto::Builder,
+    },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     sha2::{Digest, Sha256},
-    std::{future::Future, net::SocketAddr, sync::Arc},
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
     subtle::ConstantTimeEq,
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, time::timeout},
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
     viz::{
-        Request, RequestExt, RequestLimitsExt, Response, ResponseExt, Router, types::PayloadError,
+        Request, RequestExt, RequestLimitsExt, Response, ResponseExt, Router, Server,
+        types::PayloadError,
     },
 };
 
 /// Longest body of a request other than a contract, in bytes.
 const MAX_JSON_BYTES: u64 = 16 * 1024;
 
+/// Longest time for the head of a request, and for its body.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Audit records returned when the request sets no limit.
 const DEFAULT_RECORDS: usize = 100;
 
@@ -62,12 +70,23 @@
     cancel: CancellationToken,
 ) {
     let router = admin_router(&context);
-    let server = viz::serve(listener, router).signal(cancel.cancelled_owned());
+    let server = Server::with_builder(listener, router, http_builder());
+    let server = server.signal(cancel.cancelled_owned());
     if let Err(error) = server.await {
         warn!(%error, "operator API stopped");
     }
 }
 
+/// Bounds the time for the head of a request, so that idle clients cannot use up the node's connections.
+fn http_builder() -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(READ_TIMEOUT);
+    builder
+}
+
 fn admin_router(context: &Arc<AdminContext>) -> Router {
     Router::new()
         .post("/v1/targets", endpoint(context, post_target))
@@ -153,7 +172,11 @@
 }
 
 async fn read_body(request: &mut Request, max_bytes: u64) -> Result<Vec<u8>, ApiError> {
-    match request.bytes_with(Some(max_bytes), max_bytes).await {
+    let read = request.bytes_with(Some(max_bytes), max_bytes);
+    let Ok(result) = timeout(READ_TIMEOUT, read).await else {
+        return Err(malformed("The body did not arrive in time.".to_owned()));
+    };
+    match result {
         Ok(bytes) => Ok(bytes.to_vec()),
         Err(PayloadError::Empty) => Ok(Vec::new()),
         Err(PayloadError::TooLarge) => {
