--- a/tests/admin_metrics.rs
+++ b/tests/admin_metrics.rs
@@ -62,6 +62,14 @@
             "no {line} in\n{text}"
         );
     }
+    let page = include_str!("../docs/operations.md");
+    for line in text.lines().filter_map(|line| line.strip_prefix("# TYPE ")) {
+        let name = line.split(' ').next().unwrap_or_default();
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "{name} is not documented"
+        );
+    }
 }
 
 /// Guards against versions that keep their last share in the scrape after they are gone.
