State exactly when a change goes on to the next node

Cause: the help text said that a change is never sent to a second node, but it is after an answer that nothing was changed for lack of the store. Conclusion: text only.

--- a/src/operator_cli.rs
+++ b/src/operator_cli.rs
@@ -221,8 +221,8 @@
             .value_parser(value_parser!(SocketAddr))
             .help(
                 "Operator address of a node, such as 10.20.1.17:7003; repeat it to name others that \
-                 are tried in this order when one cannot be reached. A change that was sent to one \
-                 node is never sent to another",
+                 are tried in this order when one cannot be reached. A change goes on to the next \
+                 node only if nothing was sent, or the node answered that nothing was changed",
             ),
         Arg::new("token-file")
             .long("token-file")
@@ -236,7 +236,7 @@
             .global(true)
             .default_value("text")
             .value_parser(["text", "json"])
-            .help("Form of the output"),
+            .help("Form of the output; errors have the same form on the standard error"),
         Arg::new("timeout")
             .long("timeout")
             .value_name("DURATION")
