Name the latest conflicting change and keep a lease through lost renewals

A holder whose renewal got no answer could not tell that no other keeper can have taken over yet. LeaseKeeper::is_held says whether the time of the last confirmed renewal still runs. A commit without a race costs 1 read, 1 transaction and 1 object write. Conclusion: proof() stays the condition for writes; is_held() serves work that needs no write.

--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -499,15 +499,7 @@
         if !names.iter().any(differs) {
             return Ok(());
         }
-        let records = self.audit(base.version + 1, MAX_CONFLICT_RECORDS).await?;
-        let theirs = records
-            .into_iter()
-            .rev()
-            .find(|record| names.iter().any(|name| touches(record, name)));
-        let Some(theirs) = theirs else {
-            let text = format!("no audit record explains the change since {}", base.version);
-            return Err(self.fault("audit", StoreFault::Malformed(text)).into());
-        };
+        let theirs = self.latest_touching(&names, base, current).await?;
         let yours = describe(change, commit, base, &apply(base, change));
         Err(CommitError::Conflict {
             yours: Box::new(yours),
@@ -515,6 +507,29 @@
         })
     }
 
+    /// Returns the record of the latest change to one of the resources since the base.
+    async fn latest_touching(
+        &self,
+        names: &[ResourceName],
+        base: &ConfigSnapshot,
+        current: &ConfigSnapshot,
+    ) -> Result<AuditRecord, StoreError> {
+        let present = names.iter().filter_map(|name| current.resources.get(name));
+        let changed_at = present.map(|entry| entry.changed_at).max();
+        if let Some(version) = changed_at.filter(|version| *version > base.version) {
+            return self.record(version).await;
+        }
+        // Only removals are left, and a snapshot does not say when those happened.
+        let oldest = current.version.saturating_sub(MAX_CONFLICT_RECORDS.into());
+        let from = base.version.max(oldest) + 1;
+        let records = self.audit(from, MAX_CONFLICT_RECORDS).await?;
+        let removes = |record: &AuditRecord| names.iter().any(|name| touches(record, name));
+        records.into_iter().rev().find(removes).ok_or_else(|| {
+            let text = format!("no audit record explains the change since {}", base.version);
+            self.fault("audit", StoreFault::Malformed(text))
+        })
+    }
+
     /// Writes the snapshot and the contract text before any item refers to them.
     async fn store_objects(
         &self,
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -105,7 +105,7 @@
     Unknown,
     /// Another holder's revision.
     Foreign(ForeignLease),
-    /// This keeper wrote `token`; the lease is usable from `renewed_at` on for two thirds of its time.
+    /// This keeper wrote `token` in a step that began at `renewed_at`.
     Own {
         token: FencingToken,
         renewed_at: Instant,
@@ -134,6 +134,8 @@
     time_to_live: Duration,
     keeper: String,
     view: KeeperView,
+    /// End of the time in which no other keeper can have taken over, less the safety margin.
+    usable_until: Option<Instant>,
 }
 
 impl LeaseKeeper {
@@ -151,6 +153,7 @@
             time_to_live,
             keeper: Uuid::new_v4().to_string(),
             view: KeeperView::Unknown,
+            usable_until: None,
         }
     }
 
@@ -168,14 +171,18 @@
         self.contend(present, now).await
     }
 
-    /// Returns proof of holding the lease; none once the safety margin has begun.
+    /// Returns proof of holding the lease; none once the safety margin has begun, and none while the
+    /// answer to a renewal is missing, since the token is not known then.
     pub fn proof(&self, now: Instant) -> Option<LeaseProof> {
-        let KeeperView::Own { token, renewed_at } = self.view else {
-            return None;
-        };
-        let usable = self.time_to_live - self.part();
-        let age = now.saturating_duration_since(renewed_at);
-        (age < usable).then(|| self.proof_of(token))
+        match self.view {
+            KeeperView::Own { token, .. } if self.is_held(now) => Some(self.proof_of(token)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether no other keeper can hold the lease yet, even if this one has no proof at present.
+    pub fn is_held(&self, now: Instant) -> bool {
+        self.usable_until.is_some_and(|end| now < end)
     }
 
     /// Gives the lease up if it is held, so that a contender need not wait.
@@ -185,6 +192,7 @@
         };
         // Even if the answer is lost, this keeper no longer acts on the lease.
         self.view = KeeperView::Unknown;
+        self.usable_until = None;
         let expect = ItemCondition::Owned {
             revision: token,
             owner: self.holder.clone(),
@@ -252,6 +260,7 @@
                     token,
                     renewed_at: now,
                 };
+                self.usable_until = Some(now + self.time_to_live - self.part());
                 Ok(self.state_of(token))
             }
             Ok(TransactOutcome::Refused(refused)) => self.lose(refused, now),
@@ -267,6 +276,7 @@
     /// Takes note of the revision that kept this keeper from writing.
     fn lose(&mut self, refused: Vec<RefusedWrite>, now: Instant) -> Result<LeaseState, StoreError> {
         self.view = KeeperView::Unknown;
+        self.usable_until = None;
         let present = refused.into_iter().find_map(|refusal| refusal.present);
         let Some(item) = present else {
             return Err(self.malformed("the lease item has disappeared".to_owned()));
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -7,7 +7,9 @@
     },
     poplarwing_standins::platform::FaultPlan,
     std::time::Duration,
-    support::store::{any_port, eventually, section_of, start_platform, store_of, write_faults},
+    support::store::{
+        any_port, delay, eventually, section_of, start_platform, store_of, write_faults,
+    },
     tokio::net::TcpSocket,
 };
 
@@ -128,10 +130,7 @@
     let mut section = section_of(platform.endpoint());
     section.request_timeout = Duration::from_millis(100);
     let impatient = PlatformStore::connect(&section).unwrap();
-    platform.set_faults(FaultPlan {
-        delay_ms: 2_000,
-        ..FaultPlan::default()
-    });
+    platform.set_faults(delay(2_000));
 
     let error = impatient.write(first_write("one", "{}")).await.unwrap_err();
     platform.set_faults(FaultPlan::default());
--- a/tests/store_commit.rs
+++ b/tests/store_commit.rs
@@ -6,12 +6,13 @@
     poplarwing::{
         config::{ConfigError, ConfigSnapshot},
         config_store::{AuditRecord, CommitError, ConfigChange, ConfigStore, ContractWrite},
+        platform_store::StoreError,
     },
     poplarwing_standins::platform::{FaultPlan, PlatformStandin},
     std::{collections::BTreeSet, sync::Arc},
     support::store::{
-        any_port, cases, customer_change, eventually, split_without_service, start_platform,
-        store_of, write_faults,
+        any_port, cases, customer_change, eventually, outage, split_without_service,
+        start_platform, store_of, write_faults,
     },
 };
 
@@ -37,6 +38,21 @@
     change
 }
 
+/// Returns the own and the other record of a conflict.
+fn conflict_of(outcome: Result<ConfigSnapshot, CommitError>) -> (AuditRecord, AuditRecord) {
+    match outcome {
+        Err(CommitError::Conflict { yours, theirs }) => (*yours, *theirs),
+        _ => panic!("expected a conflict, found {outcome:?}"),
+    }
+}
+
+fn store_error_of(outcome: Result<ConfigSnapshot, CommitError>) -> StoreError {
+    match outcome {
+        Err(CommitError::Store(error)) => error,
+        _ => panic!("expected an error of the store, found {outcome:?}"),
+    }
+}
+
 /// Checks that the audit records lead from nothing to the head, version by version.
 async fn check_records(config: &ConfigStore) -> Vec<AuditRecord> {
     let head = config.head().await.unwrap();
@@ -68,6 +84,42 @@
     assert_eq!(first.with_delta(&records[1].delta).unwrap(), second);
 }
 
+/// Guards against requests creeping into the path of every commit and read.
+#[tokio::test]
+async fn a_commit_costs_one_read_one_object_and_one_transaction() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+
+    let change = customer_change(Arc::default(), "kestrel", 10);
+    config.commit(change).await.unwrap();
+
+    let counts = platform.counts();
+    assert_eq!((counts.table_reads, counts.table_writes), (1, 1));
+    assert_eq!((counts.object_reads, counts.object_writes), (0, 1));
+}
+
+/// Guards against a removal in between going unnoticed.
+#[tokio::test]
+async fn a_change_of_a_removed_resource_conflicts_with_the_removal() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let change = customer_change(Arc::default(), "kestrel", 10);
+    let base = Arc::new(config.commit(change).await.unwrap());
+    let mut removal = customer_change(Arc::clone(&base), "kestrel", 20);
+    removal.changed.clear();
+    removal.removed = vec!["customer/kestrel".to_owned()];
+    config.commit(removal).await.unwrap();
+    config
+        .commit(customer_change(Arc::clone(&base), "other", 1))
+        .await
+        .unwrap();
+
+    let outcome = config.commit(customer_change(base, "kestrel", 30)).await;
+
+    let (_, theirs) = conflict_of(outcome);
+    assert_eq!(theirs.version, 2);
+}
+
 /// Guards against the second of two operators overwriting a change that it has not seen.
 #[tokio::test]
 async fn a_conflict_shows_both_changes() {
@@ -79,9 +131,7 @@
     config.commit(winner).await.unwrap();
     let outcome = config.commit(loser).await;
 
-    let Err(CommitError::Conflict { yours, theirs }) = outcome else {
-        panic!("expected a conflict, found {outcome:?}");
-    };
+    let (yours, theirs) = conflict_of(outcome);
     assert_eq!(yours.summary, "rate of kestrel is 30");
     assert_eq!(theirs.summary, "rate of kestrel is 10");
     assert_eq!(config.head().await.unwrap().version, 1);
@@ -117,11 +167,8 @@
     let records = check_records(&config).await;
     assert_eq!(records.len(), 1);
     assert_eq!(outcomes.iter().filter(|outcome| outcome.is_ok()).count(), 1);
-    for outcome in outcomes.iter().filter(|outcome| outcome.is_err()) {
-        let Err(CommitError::Conflict { theirs, .. }) = outcome else {
-            panic!("expected a conflict, found {outcome:?}");
-        };
-        assert_eq!(**theirs, records[0]);
+    for outcome in outcomes.into_iter().filter(Result::is_err) {
+        assert_eq!(conflict_of(outcome).1, records[0]);
     }
 }
 
@@ -158,9 +205,7 @@
         .commit(contract_change("third", 4))
         .await;
 
-    let Err(CommitError::Conflict { yours, theirs }) = raced else {
-        panic!("expected a conflict, found {raced:?}");
-    };
+    let (yours, theirs) = conflict_of(raced);
     assert_eq!(
         (yours.summary.as_str(), theirs.summary.as_str()),
         ("second", "first")
@@ -200,16 +245,11 @@
     let platform = start_platform().await;
     let config = ConfigStore::new(store_of(&platform));
     let change = customer_change(Arc::default(), "kestrel", 10);
-    platform.set_faults(FaultPlan {
-        down: true,
-        ..FaultPlan::default()
-    });
+    platform.set_faults(outage());
 
     let outcome = config.commit(change.clone()).await;
 
-    let Err(CommitError::Store(error)) = outcome else {
-        panic!("expected an error of the store, found {outcome:?}");
-    };
+    let error = store_error_of(outcome);
     assert!(!error.may_have_taken_effect(), "{error}");
     platform.set_faults(FaultPlan::default());
     assert_eq!(config.commit(change).await.unwrap().version, 1);
@@ -233,9 +273,7 @@
 
     let outcome = config.commit(change).await;
 
-    let Err(CommitError::Store(error)) = outcome else {
-        panic!("expected an error of the store, found {outcome:?}");
-    };
+    let error = store_error_of(outcome);
     assert!(error.may_have_taken_effect(), "{error}");
     platform.set_faults(FaultPlan::default());
     assert_eq!(check_records(&config).await.len(), 1);
--- a/tests/store_lease.rs
+++ b/tests/store_lease.rs
@@ -162,9 +162,10 @@
     platform.set_faults(write_faults(1, 0));
     holder.step(begin + TIME_TO_LIVE / 3).await.unwrap_err();
     let uncertain = holder.proof(begin + TIME_TO_LIVE / 3);
+    let held = holder.is_held(begin + TIME_TO_LIVE / 3);
     let state = holder.step(begin + TIME_TO_LIVE / 2).await.unwrap();
 
-    assert_eq!(uncertain, None);
+    assert_eq!((uncertain, held), (None, true));
     assert!(matches!(state, LeaseState::Held(_)), "{state}");
 }
 
@@ -252,6 +253,13 @@
             .collect()
     }
 
+    fn holders(&self) -> usize {
+        let pairs = self.keepers.iter().zip(self.clocks);
+        pairs
+            .filter(|(keeper, clock)| keeper.is_held(*clock))
+            .count()
+    }
+
     async fn accepts(&mut self, proof: &LeaseProof) -> bool {
         // The table answers a request token that it has seen without checking the condition again.
         self.checks += 1;
@@ -271,7 +279,7 @@
             if let Some(proof) = race.step(step).await {
                 race.note(proof);
             }
-            assert!(race.proofs().len() < 2, "two holders in {steps:?}");
+            assert!(race.holders() < 2, "two holders in {steps:?}");
         }
         takeovers += race.takeovers;
     }
--- a/tests/store_once.rs
+++ b/tests/store_once.rs
@@ -14,7 +14,8 @@
     poplarwing_standins::platform::{FaultPlan, PlatformStandin},
     std::{collections::BTreeMap, time::Duration},
     support::store::{
-        any_port, cases, eventually, section_of, start_platform, store_of, write_faults,
+        any_port, cases, delay, eventually, outage, section_of, start_platform, store_of,
+        write_faults,
     },
 };
 
@@ -134,10 +135,7 @@
     let platform = start_platform().await;
     let recorder = recorder_at(&platform, "a");
     let limited = OnceRecorder::new(store_of(&platform), "b".to_owned(), 0);
-    platform.set_faults(FaultPlan {
-        down: true,
-        ..FaultPlan::default()
-    });
+    platform.set_faults(outage());
 
     let down = begin(&recorder, "key").await.unwrap_err();
     let over = begin(&limited, "key").await.unwrap_err();
@@ -160,10 +158,7 @@
     let platform = start_platform().await;
     let recorder = recorder_at(&platform, "a");
     let ticket = run(&recorder, "key").await;
-    platform.set_faults(FaultPlan {
-        down: true,
-        ..FaultPlan::default()
-    });
+    platform.set_faults(outage());
     recorder.abandon(ticket).await.unwrap_err();
     platform.set_faults(FaultPlan::default());
     let blocked = begin(&recorder, "key").await.unwrap();
@@ -183,10 +178,7 @@
     section.request_timeout = Duration::from_millis(100);
     let impatient = PlatformStore::connect(&section).unwrap();
     let recorder = OnceRecorder::new(impatient, "a".to_owned(), AMPLE);
-    platform.set_faults(FaultPlan {
-        delay_ms: 3_000,
-        ..FaultPlan::default()
-    });
+    platform.set_faults(delay(3_000));
     begin(&recorder, "key").await.unwrap_err();
     platform.set_faults(FaultPlan::default());
     let other = recorder_at(&platform, "b");
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -9,7 +9,7 @@
     },
     poplarwing_standins::platform::{FaultPlan, PlatformStandin},
     std::{sync::Arc, time::Instant},
-    support::store::{any_port, customer_change, settings_of, start_platform, store_of},
+    support::store::{any_port, customer_change, outage, settings_of, start_platform, store_of},
 };
 
 mod support {
@@ -88,10 +88,7 @@
         (1, 0)
     );
 
-    platform.set_faults(FaultPlan {
-        down: true,
-        ..FaultPlan::default()
-    });
+    platform.set_faults(outage());
     second
         .step(&second_board, begin + READER_PERIOD)
         .await
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -143,3 +143,17 @@
         ..FaultPlan::default()
     }
 }
+
+pub fn outage() -> FaultPlan {
+    FaultPlan {
+        down: true,
+        ..FaultPlan::default()
+    }
+}
+
+pub fn delay(delay_ms: u64) -> FaultPlan {
+    FaultPlan {
+        delay_ms,
+        ..FaultPlan::default()
+    }
+}
