Let requests to the store be spawned

Cause: the futures of PlatformStore, and of all that builds on it, could not be passed to tokio::spawn: the compiler could not prove them Send through AsyncFn. Change: repeat_harmless takes a function that returns a future; a test spawns the steps of a reader. Conclusion: controllers can run on the worker pool.

--- a/src/platform_store.rs
+++ b/src/platform_store.rs
@@ -201,8 +201,7 @@
 
     /// Reads one item, consistently.
     pub async fn get(&self, key: &ItemKey) -> Result<Option<TableItem>, StoreError> {
-        self.repeat_harmless(async || self.get_once(key).await)
-            .await
+        self.repeat_harmless(|| self.get_once(key)).await
     }
 
     /// Reads up to `limit` items of a partition in order of their sort key, beginning with `from_sk`.
@@ -214,7 +213,7 @@
         from_sk: &str,
         limit: u32,
     ) -> Result<Vec<TableItem>, StoreError> {
-        self.repeat_harmless(async || self.list_once(pk, from_sk, limit).await)
+        self.repeat_harmless(|| self.list_once(pk, from_sk, limit))
             .await
     }
 
@@ -227,14 +226,13 @@
         writes: Vec<TableWrite>,
         token: &str,
     ) -> Result<TransactOutcome, StoreError> {
-        self.repeat_harmless(async || self.transact_once(&writes, token).await)
+        self.repeat_harmless(|| self.transact_once(&writes, token))
             .await
     }
 
     /// Executes a single write, which costs half the capacity of a transaction.
     pub async fn write(&self, write: TableWrite) -> Result<TransactOutcome, StoreError> {
-        self.repeat_harmless(async || self.write_once(&write).await)
-            .await
+        self.repeat_harmless(|| self.write_once(&write)).await
     }
 
     /// Writes an object; names derived from the content make this repeatable.
@@ -268,10 +266,10 @@
     /// Repeats a request after an answer, or the lack of a connection, that rules out any effect.
     ///
     /// Requests that ran into their time limit are not repeated, so that a slow store gets no more load.
-    async fn repeat_harmless<T>(
-        &self,
-        request: impl AsyncFn() -> Result<T, StoreError>,
-    ) -> Result<T, StoreError> {
+    async fn repeat_harmless<T, F>(&self, request: impl Fn() -> F) -> Result<T, StoreError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
         let mut attempt = 1;
         loop {
             match request().await {
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -122,3 +122,21 @@
     }
     assert_eq!(reading, 3);
 }
+
+/// Guards against futures that only run on the task that made them; controllers are spawned.
+#[tokio::test]
+async fn steps_can_be_spawned() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let mut reader = reader_of(&platform, "a");
+
+    let steps = tokio::spawn(async move {
+        commit(&config, [1]).await;
+        let board = board();
+        reader.step(&board, Instant::now()).await.unwrap();
+        reader.stop().await.unwrap();
+        board.gate.version()
+    });
+
+    assert_eq!(steps.await.unwrap(), 1);
+}
