Settle refusals by the head and test callers that go away

Cause: a refusal need not name the head among its reasons, so a commit whose earlier sending had taken effect could be reported as a lost lease. A caller that goes away during begin was untested. Change: a refusal is explained only after a read of the head shows that the version was not reached. Conclusion: the reasons of a refusal are used only for the kind of the error.

--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -360,8 +360,8 @@
         match sent {
             Ok(TransactOutcome::Applied) => Ok(Some(prepared.next)),
             Ok(TransactOutcome::Refused(refused)) => {
+                progress.sent = Some(prepared.clone());
                 self.explain(change, &prepared, &refused).await?;
-                progress.sent = Some(prepared);
                 Ok(None)
             }
             Err(error) if error.may_have_taken_effect() => {
@@ -411,6 +411,10 @@
         if refusal_of(&head_key()).is_some() {
             return Ok(());
         }
+        // An earlier sending of this version may have taken effect; then its own writes refuse this one.
+        if self.head().await?.version >= prepared.next.version {
+            return Ok(());
+        }
         if let ChangeAuthor::Controller { lease, .. } = &change.author
             && refusal_of(lease.check().key()).is_some()
         {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -74,6 +74,8 @@
     pub object_reads: u64,
     /// Writes of objects (PUT).
     pub object_writes: u64,
+    /// Requests that were delayed before their effect.
+    pub delayed: u64,
     /// Requests that a fault kept from taking effect.
     pub faulted: u64,
     /// Bytes of request bodies received.
@@ -266,6 +268,7 @@
             return Err(self.fault(DroppedExchange::Down));
         }
         if plan.delay_ms > 0 {
+            lock(&self.counts).delayed += 1;
             sleep(Duration::from_millis(plan.delay_ms)).await;
         }
         if plan.throttled {
--- a/tests/store_once.rs
+++ b/tests/store_once.rs
@@ -194,6 +194,24 @@
     .await;
 }
 
+/// Guards against a key that stays blocked because its caller went away before the call could run.
+#[tokio::test]
+async fn a_sweep_frees_the_key_of_a_caller_that_went_away() {
+    let platform = start_platform().await;
+    let recorder = recorder_at(&platform, "a");
+    platform.set_faults(delay(500));
+    let leaving = recorder.clone();
+    let caller = tokio::spawn(async move { begin(&leaving, "key").await.is_ok() });
+    // The request is on its way once the platform has accepted it; it takes effect 500 ms later.
+    eventually(async || platform.counts().delayed == 1).await;
+    caller.abort();
+    platform.set_faults(FaultPlan::default());
+
+    eventually(async || recorder.sweep().await.unwrap() == 1).await;
+
+    run(&recorder, "key").await;
+}
+
 /// What a node does with a key in one round.
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 struct NodeMove {
