--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -360,8 +360,8 @@
         match sent {
             Ok(TransactOutcome::Applied) => Ok(Some(prepared.next)),
             Ok(TransactOutcome::Refused(refused)) => {
+                progress.sent = Some(prepared.clone());
                 self.explain(change, &prepared, &refused).await?;
-                progress.sent = Some(prepared);
                 Ok(None)
             }
             Err(error) if error.may_have_taken_effect() => {
@@ -411,6 +411,10 @@
         if refusal_of(&head_key()).is_some() {
             return Ok(());
         }
+        // An earlier sending of this version may have taken effect; then its own writes refuse this one.
+        if self.head().await?.version >= prepared.next.version {
+            return Ok(());
+        }
         if let ChangeAuthor::Controller { lease, .. } = &change.author
             && refusal_of(lease.check().key()).is_some()
         {
@@ -499,15 +503,7 @@
         if !names.iter().any(differs) {
             return Ok(());
         }
-        let records = self.audit(base.version + 1, MAX_CONFLICT_RECORDS).await?;
-        let theirs = records
-            .into_iter()
-            .rev()
-            .find(|record| names.iter().any(|name| touches(record, name)));
-        let Some(theirs) = theirs else {
-            let text = format!("no audit record explains the change since {}", base.version);
-            return Err(self.fault("audit", StoreFault::Malformed(text)).into());
-        };
+        let theirs = self.latest_touching(&names, base, current).await?;
         let yours = describe(change, commit, base, &apply(base, change));
         Err(CommitError::Conflict {
             yours: Box::new(yours),
@@ -515,6 +511,29 @@
         })
     }
 
+    /// Returns the record of the latest change to one of the resources since the base.
+    async fn latest_touching(
+        &self,
+        names: &[ResourceName],
+        base: &ConfigSnapshot,
+        current: &ConfigSnapshot,
+    ) -> Result<AuditRecord, StoreError> {
+        let present = names.iter().filter_map(|name| current.resources.get(name));
+        let changed_at = present.map(|entry| entry.changed_at).max();
+        if let Some(version) = changed_at.filter(|version| *version > base.version) {
+            return self.record(version).await;
+        }
+        // Only removals are left, and a snapshot does not say when those happened.
+        let oldest = current.version.saturating_sub(MAX_CONFLICT_RECORDS.into());
+        let from = base.version.max(oldest) + 1;
+        let records = self.audit(from, MAX_CONFLICT_RECORDS).await?;
+        let removes = |record: &AuditRecord| names.iter().any(|name| touches(record, name));
+        records.into_iter().rev().find(removes).ok_or_else(|| {
+            let text = format!("no audit record explains the change since {}", base.version);
+            self.fault("audit", StoreFault::Malformed(text))
+        })
+    }
+
     /// Writes the snapshot and the contract text before any item refers to them.
     async fn store_objects(
         &self,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod fleet;
 pub mod platform;
--- a/tests/store_reader.rs
+++ b/tests/store_reader.rs
@@ -9,7 +9,7 @@
     },
     poplarwing_standins::platform::{FaultPlan, PlatformStandin},
     std::{sync::Arc, time::Instant},
-    support::store::{any_port, customer_change, settings_of, start_platform, store_of},
+    support::store::{any_port, customer_change, outage, settings_of, start_platform, store_of},
 };
 
 mod support {
@@ -88,10 +88,7 @@
         (1, 0)
     );
 
-    platform.set_faults(FaultPlan {
-        down: true,
-        ..FaultPlan::default()
-    });
+    platform.set_faults(outage());
     second
         .step(&second_board, begin + READER_PERIOD)
         .await
@@ -125,3 +122,21 @@
     }
     assert_eq!(reading, 3);
 }
+
+/// Guards against futures that only run on the task that made them; controllers are spawned.
+#[tokio::test]
+async fn steps_can_be_spawned() {
+    let platform = start_platform().await;
+    let config = ConfigStore::new(store_of(&platform));
+    let mut reader = reader_of(&platform, "a");
+
+    let steps = tokio::spawn(async move {
+        commit(&config, [1]).await;
+        let board = board();
+        reader.step(&board, Instant::now()).await.unwrap();
+        reader.stop().await.unwrap();
+        board.gate.version()
+    });
+
+    assert_eq!(steps.await.unwrap(), 1);
+}
--- /dev/null
+++ b/tests/support/fleet_fixture.rs
@@ -0,0 +1,179 @@
+//! A fleet of real node processes with stand-ins in the test process.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixture")]
+
+use {
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, body::Bytes},
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    poplarwing_standins::{
+        fleet::{FleetPlan, NodeFleet, OPERATOR_TOKEN},
+        platform::PlatformStandin,
+    },
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// Time after which a condition that does not hold counts as a failure; far above any time expected.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(50);
+
+/// A contract with one service.
+pub const CONTRACT: &str = "\
+[customer]
+name = kestrel
+
+[service ledger]
+host = ledger.kestrel.example
+initial_version = v1
+
+[route ledger read]
+path = /read
+methods = GET
+idempotent = true
+deadline = 5s
+body_limit = 0B
+
+[route ledger record]
+path = /record
+methods = POST
+keyed = true
+deadline = 10s
+body_limit = 16MiB
+
+[move ledger]
+prefer = safety
+finish_within = 40s
+canary_share = 10%
+watch_for = 5s
+";
+
+/// Waits until a condition holds.
+pub async fn wait_until(what: &str, condition: impl AsyncFn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition().await {
+        assert!(
+            Instant::now() < deadline,
+            "not so within {PATIENCE:?}: {what}"
+        );
+        sleep(POLL).await;
+    }
+}
+
+/// An answer of the operator API.
+pub struct ApiAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON body; null if it is not JSON.
+    pub body: Value,
+}
+
+/// A platform stand-in and node processes.
+pub struct TestFleet {
+    /// Node processes.
+    pub nodes: NodeFleet,
+    /// The platform.
+    pub platform: PlatformStandin,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl TestFleet {
+    /// Starts a platform and `count` nodes in two failure domains, and waits until all answer.
+    pub async fn start(count: usize) -> Self {
+        let platform = PlatformStandin::start(([127, 0, 0, 1], 0).into())
+            .await
+            .expect("a free port");
+        let plan = FleetPlan {
+            binary: env!("CARGO_BIN_EXE_poplarwingd").into(),
+            domains: vec!["welshpool".to_owned(), "bunbury".to_owned()],
+            nodes: count,
+            platform: platform.address(),
+            log_level: "info".to_owned(),
+        };
+        let mut nodes = NodeFleet::new(&plan).expect("free loopback addresses");
+        nodes.start_all().expect("the daemon was built");
+        let fleet = Self {
+            nodes,
+            platform,
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        };
+        for index in 0..count {
+            let deadline = Instant::now() + PATIENCE;
+            while fleet.status(index).await.is_none() {
+                let log = fleet.nodes.log(index);
+                assert!(
+                    Instant::now() < deadline,
+                    "node {index} does not answer: {log}"
+                );
+                sleep(POLL).await;
+            }
+        }
+        fleet
+    }
+
+    /// Sends a request to a node's operator API; none if the node cannot be reached.
+    pub async fn api(
+        &self,
+        index: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<ApiAnswer> {
+        let admin: SocketAddr = self.nodes.addresses(index).admin;
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{admin}{path}"))
+            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("a valid request");
+        let answer = self.client.request(request).await.ok()?;
+        let status = answer.status().as_u16();
+        let content = answer.into_body().collect().await.ok()?.to_bytes();
+        Some(ApiAnswer {
+            status,
+            body: serde_json::from_slice(&content).unwrap_or(Value::Null),
+        })
+    }
+
+    /// Returns the status of a node, or none if it cannot be reached.
+    pub async fn status(&self, index: usize) -> Option<Value> {
+        let answer = self.api(index, "GET", "/v1/status", "").await?;
+        (answer.status == 200).then_some(answer.body)
+    }
+
+    /// Returns the configuration version that a node has in force.
+    pub async fn version_of(&self, index: usize) -> Option<u64> {
+        self.status(index).await?.get("version")?.as_u64()
+    }
+
+    /// Applies a contract through a node and returns the version accepted.
+    pub async fn apply_contract(&self, index: usize, text: &str, revision: u64) -> u64 {
+        let path = format!("/v1/contracts/kestrel?expect={revision}");
+        let answer = self
+            .api(index, "PUT", &path, text)
+            .await
+            .expect("the node answers");
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        answer.body["version"].as_u64().expect("a version")
+    }
+
+    /// Waits until every node has a version or a newer one in force.
+    pub async fn wait_in_force(&self, version: u64) {
+        for index in 0..self.nodes.len() {
+            let what = format!("version {version} is in force on node {index}");
+            wait_until(&what, async || {
+                self.version_of(index).await >= Some(version)
+            })
+            .await;
+        }
+    }
+}
