--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,5 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod caller;
 pub mod fleet;
 pub mod platform;
+pub mod target;
