Accept on the 80th percentile and correct the suspicion for the number of tests

One in ten for each of eight tests made a suspicion likely; the 95th percentile, rounded to a bucket bound, left 3.3% of calls as bad, which tells little per call.

Change: acceptance counts calls above the stable 80th percentile, with intervals of 10 ticks; a suspicion has an error of 0.2 over all tests together. A suspicion during the watch lowers the share to the canary share until it passes or the watch has run twice, and is then taken back under either preference. A suspicion during the ramp keeps the share. New scenario slow_tail.

Noise on one target is still the main cause of lost good versions.

--- a/experiments/src/moves/calls.rs
+++ b/experiments/src/moves/calls.rs
@@ -239,7 +239,7 @@
         fault_slowdown > 1.0 || (failed && fault_failure > 0.0)
     }
 
-    fn fault_of(&self, route: usize, state: TickState) -> (f64, f64) {
+    fn fault_of(&mut self, route: usize, state: TickState) -> (f64, f64) {
         let Some(fault) = self.scenario.fault else {
             return (0.0, 1.0);
         };
@@ -249,8 +249,9 @@
             FaultTime::Later => state.tick >= self.fault_from,
             FaultTime::UnderLoad(load) => state.target_load > load,
         };
+        let is_slow = self.rng.random_bool(fault.slow_share);
         if on_route && shows {
-            (fault.failure, fault.slowdown)
+            (fault.failure, if is_slow { fault.slowdown } else { 1.0 })
         } else {
             (0.0, 1.0)
         }
--- a/experiments/src/moves/scenario.rs
+++ b/experiments/src/moves/scenario.rs
@@ -83,6 +83,8 @@
     pub failure: f64,
     /// Factor of the latency.
     pub slowdown: f64,
+    /// Share of calls that the slowdown concerns.
+    pub slow_share: f64,
     /// When the fault shows.
     pub when: FaultTime,
     /// Whether only the last route is concerned.
@@ -139,6 +141,7 @@
         fault: Some(Fault {
             failure,
             slowdown,
+            slow_share: 1.0,
             when,
             last_route_only: false,
         }),
@@ -153,6 +156,7 @@
         fault: Some(Fault {
             failure,
             slowdown,
+            slow_share: 1.0,
             when: FaultTime::AtOnce,
             last_route_only: true,
         }),
@@ -160,6 +164,14 @@
     }
 }
 
+fn bad_tail(name: &'static str, slowdown: f64, slow_share: f64) -> Scenario {
+    let mut scenario = bad(name, 0.0, slowdown, FaultTime::AtOnce);
+    if let Some(fault) = &mut scenario.fault {
+        fault.slow_share = slow_share;
+    }
+    scenario
+}
+
 /// Returns the kinds of candidate.
 pub fn scenarios() -> Vec<Scenario> {
     vec![
@@ -196,6 +208,7 @@
         bad("fails_under_load", 0.2, 1.0, FaultTime::UnderLoad(0.6)),
         bad_on_one_route("fails_on_one_route", 0.5, 1.0),
         bad_on_one_route("slow_on_one_route", 0.0, 3.0),
+        bad_tail("slow_tail", 10.0, 0.1),
         bad("small_regression", 0.03, 1.3, FaultTime::AtOnce),
     ]
 }
--- a/src/move_controller/plan.rs
+++ b/src/move_controller/plan.rs
@@ -90,7 +90,8 @@
 
     /// Notes the step in force and the targets; returns whether a step began.
     ///
-    /// A share that only falls within its phase, for lack of candidate targets, begins no step.
+    /// A share that falls within its phase restarts the step's time, but begins no step: the acceptance
+    /// reached before stays valid.
     pub fn observe(&mut self, split: &TrafficSplit, targets: &VersionTargets, now_ms: u64) -> bool {
         let Some(current) = &split.current_move else {
             return false;
@@ -108,10 +109,10 @@
         };
         let same_phase = step.phase == self.step.phase;
         let begins = !same_phase || step.permille > self.step.permille;
-        self.step = step;
-        if begins {
+        if step != self.step {
             self.since_ms = now_ms;
         }
+        self.step = step;
         begins
     }
 }
@@ -177,6 +178,12 @@
         /// Share now allowed.
         permille: u32,
     },
+    /// Something speaks against the candidate; it gets the canary share until this is settled.
+    #[display("suspicion, back to the canary share: {_0}")]
+    Suspicion(VerdictEvidence),
+    /// The cause of a lower share during the watch has passed.
+    #[display("cause of the lower share has passed: {_0}")]
+    ShareRestored(VerdictEvidence),
     /// The watch ended without evidence against the candidate.
     #[display("watch ended without evidence against the candidate: {_0}")]
     WatchEnded(VerdictEvidence),
@@ -382,19 +389,17 @@
     }
 
     fn plan_watch(&self) -> MoveStep {
-        if let Some(step) = self.plan_missing().or_else(|| self.plan_lowering()) {
+        let reduction = self
+            .plan_missing()
+            .or_else(|| self.plan_lowering())
+            .or_else(|| self.plan_retreat());
+        if let Some(step) = reduction {
             return step;
         }
         let watch_ms = self.policy.watch_for.as_millis() as u64;
         let until_ms = self.state.progress.since_ms + watch_ms;
         let is_over = self.now_ms >= until_ms;
         let is_late = self.now_ms >= until_ms + watch_ms;
-        if self.state.split.candidate_permille < TAKEOVER_PERMILLE {
-            return self.plan_short_watch(is_late);
-        }
-        if !is_over {
-            return MoveStep::Hold(HoldReason::StepRuns { until_ms });
-        }
         let (evidence, suspicious) = match self.verdict {
             MoveVerdict::Good(evidence) | MoveVerdict::Bad(evidence) => (evidence, false),
             MoveVerdict::Undecided {
@@ -402,11 +407,17 @@
                 suspicious,
             } => (evidence, *suspicious),
         };
-        if suspicious && !is_late {
+        if suspicious && is_late {
+            return veto_and_take_back(StepReason::EvidenceAgainst(evidence.clone()));
+        }
+        if suspicious {
             return MoveStep::Hold(HoldReason::AwaitsEvidence(evidence.clone()));
         }
-        if suspicious && self.policy.prefer == MovePreference::Safety {
-            return veto_and_take_back(StepReason::EvidenceAgainst(evidence.clone()));
+        if self.state.split.candidate_permille < TAKEOVER_PERMILLE {
+            return self.plan_short_watch(is_late, evidence);
+        }
+        if !is_over {
+            return MoveStep::Hold(HoldReason::StepRuns { until_ms });
         }
         let done = ShareStep {
             phase: MovePhase::Done,
@@ -415,15 +426,14 @@
         change(done, StepReason::WatchEnded(evidence.clone()))
     }
 
-    /// The candidate lost targets after the takeover; its share rises again once they are back.
-    fn plan_short_watch(&self, is_late: bool) -> MoveStep {
+    /// The share was lowered after the takeover; it rises again once the cause has passed.
+    fn plan_short_watch(&self, is_late: bool, evidence: &VerdictEvidence) -> MoveStep {
         if self.largest_share() >= TAKEOVER_PERMILLE {
             let step = ShareStep {
                 phase: MovePhase::Watch,
                 permille: TAKEOVER_PERMILLE,
             };
-            let targets = self.targets.candidate;
-            return change(step, StepReason::CandidateArrived { targets });
+            return change(step, StepReason::ShareRestored(evidence.clone()));
         }
         if is_late {
             return take_back(self.too_few_slots());
@@ -433,6 +443,28 @@
         })
     }
 
+    /// A suspicion during the watch lowers the share at once, so that the test can take the time it needs to
+    /// tell a bad version from a short disturbance. The ramp does not do so: a fault under load would
+    /// vanish with the load and return with it.
+    fn plan_retreat(&self) -> Option<MoveStep> {
+        let canary = self.steps()[0].permille;
+        let MoveVerdict::Undecided {
+            evidence,
+            suspicious: true,
+        } = self.verdict
+        else {
+            return None;
+        };
+        if self.state.split.candidate_permille <= canary {
+            return None;
+        }
+        let step = ShareStep {
+            phase: self.current.phase,
+            permille: canary,
+        };
+        Some(change(step, StepReason::Suspicion(evidence.clone())))
+    }
+
     fn plan_missing(&self) -> Option<MoveStep> {
         let since_ms = self.state.progress.candidate_missing_since_ms?;
         let grace_ms = MISSING_GRACE.as_millis() as u64;
--- a/src/move_verdict.rs
+++ b/src/move_verdict.rs
@@ -56,7 +56,10 @@
 }
 
 /// Quantile of the stable latency above which a call counts as bad in the acceptance test.
-const BAD_QUANTILE: f64 = 0.95;
+///
+/// With the same margin of the odds, a call above the 80th percentile tells three times as much of a general
+/// slowdown as one above the 95th; a slowdown of the tail alone is left to the latency tests.
+const BAD_QUANTILE: f64 = 0.8;
 
 /// Odds ratios that the failure test is sensitive to; large ones find outright failure in few calls.
 const FAILURE_ODDS: [f64; 4] = [2.0, 8.0, 64.0, 4096.0];
@@ -67,8 +70,12 @@
 /// Share of a route in the stable calls below which it need not be covered for acceptance.
 const MINOR_ROUTE_SHARE: f64 = 0.02;
 
-/// E-value from which the evidence counts as a suspicion that blocks a step.
-const SUSPICION_E_VALUE: f64 = 10.0;
+/// Probability with which a candidate equal to the stable version may come under suspicion in one move; a
+/// suspicion blocks the next step.
+const SUSPICION_ERROR: f64 = 0.2;
+
+/// Error at which a suspicion ends again; the distance keeps the share from alternating.
+const RELIEF_ERROR: f64 = 1.0;
 
 /// What kind of bad call a test looks at.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
@@ -80,7 +87,7 @@
     /// Calls slower than a quantile of the stable version's latency.
     #[display("slow")]
     Slow,
-    /// Calls that failed or were slower than the stable version's 95th percentile.
+    /// Calls that failed or were slower than the stable version's 80th percentile.
     #[display("failed or slow")]
     FailedOrSlow,
 }
@@ -149,7 +156,8 @@
     stable: VersionName,
     routes: BTreeMap<RouteName, RouteTest>,
     overall: TestPair,
-    accept: AcceptTest,
+    best_support: f64,
+    suspicious: bool,
     condemned: Option<VerdictEvidence>,
 }
 
@@ -159,6 +167,7 @@
     reference: StableReference,
     stratum: RouteStratum,
     tests: TestPair,
+    accept: AcceptTest,
     step_calls: u64,
     stable_calls: u64,
 }
@@ -204,7 +213,7 @@
     pub failures: OutcomeTable,
     /// Slow calls by quantile; empty while the stable latency is not yet known.
     pub slow: Vec<OutcomeTable>,
-    /// Calls that failed or were slower than the 95th percentile.
+    /// Calls that failed or were slower than the 80th percentile.
     pub bad: Option<OutcomeTable>,
     /// Ticks that the stratum covers.
     pub ticks: u32,
@@ -218,7 +227,8 @@
             stable: stable.to_owned(),
             routes: BTreeMap::new(),
             overall: TestPair::new(policy.slow_quantiles.len()),
-            accept: AcceptTest::new(policy.margin_odds),
+            best_support: 0.0,
+            suspicious: false,
             condemned: None,
             policy,
         }
@@ -238,13 +248,14 @@
             }
         }
         self.close_strata();
-        self.condemn();
+        self.judge();
     }
 
     /// Starts the acceptance test anew; the evidence against the candidate is kept.
     pub fn begin_step(&mut self) {
-        self.accept = AcceptTest::new(self.policy.margin_odds);
+        self.best_support = 0.0;
         for route in self.routes.values_mut() {
+            route.accept = AcceptTest::new(self.policy.margin_odds);
             route.step_calls = 0;
         }
     }
@@ -255,24 +266,24 @@
             return MoveVerdict::Bad(evidence.clone());
         }
         let against = self.strongest_against();
-        let suspicious = against.statistic >= SUSPICION_E_VALUE.ln();
         let support = self.support();
-        if !suspicious && support.statistic >= support.threshold && self.routes_covered() {
+        if !self.suspicious && support.statistic >= support.threshold && self.routes_covered() {
             return MoveVerdict::Good(support);
         }
-        let evidence = if against.statistic > 0.0 {
+        let evidence = if self.suspicious || against.statistic > 0.0 {
             against
         } else {
             support
         };
         MoveVerdict::Undecided {
             evidence,
-            suspicious,
+            suspicious: self.suspicious,
         }
     }
 
     fn add_difference(&mut self, difference: &CounterDifference, is_candidate: bool) {
         let quantiles = self.policy.slow_quantiles.len();
+        let margin = self.policy.margin_odds;
         let route = self
             .routes
             .entry(difference.route.clone())
@@ -280,6 +291,7 @@
                 reference: StableReference::default(),
                 stratum: RouteStratum::default(),
                 tests: TestPair::new(quantiles),
+                accept: AcceptTest::new(margin),
                 step_calls: 0,
                 stable_calls: 0,
             });
@@ -308,7 +320,7 @@
             route
                 .tests
                 .advance(std::slice::from_ref(&tables), &self.policy);
-            self.accept.advance(tables.bad);
+            route.accept.advance(tables.bad, tables.ticks);
             closed.push(tables);
         }
         if !closed.is_empty() {
@@ -316,24 +328,34 @@
         }
     }
 
-    fn condemn(&mut self) {
-        if self.condemned.is_some() {
-            return;
-        }
+    fn judge(&mut self) {
+        self.best_support = self.best_support.max(self.present_support());
         let against = self.strongest_against();
-        if against.statistic >= against.threshold {
+        if against.statistic >= self.threshold_for(SUSPICION_ERROR) {
+            self.suspicious = true;
+        } else if against.statistic <= self.threshold_for(RELIEF_ERROR) {
+            self.suspicious = false;
+        }
+        if self.condemned.is_none() && against.statistic >= against.threshold {
             self.condemned = Some(against);
         }
     }
 
+    fn present_support(&self) -> f64 {
+        self.routes
+            .values()
+            .map(|route| route.accept.statistic())
+            .sum()
+    }
+
     /// Two kinds of test on each route and on all together share the allowed error.
-    fn bad_threshold(&self) -> f64 {
+    fn threshold_for(&self, error: f64) -> f64 {
         let tests = 2 * (self.routes.len() + 1);
-        (tests as f64 / self.policy.bad_error).ln()
+        (tests as f64 / error).ln()
     }
 
     fn strongest_against(&self) -> VerdictEvidence {
-        let threshold = self.bad_threshold();
+        let threshold = self.threshold_for(self.policy.bad_error);
         let routes = self
             .routes
             .iter()
@@ -346,12 +368,16 @@
     }
 
     fn support(&self) -> VerdictEvidence {
+        let mut counted = OutcomeTable::default();
+        for route in self.routes.values() {
+            odds_test::add_table(&mut counted, route.accept.counted());
+        }
         VerdictEvidence {
             route: None,
             kind: BadKind::FailedOrSlow,
-            candidate: self.accept.candidate(),
-            stable: self.accept.stable(),
-            statistic: self.accept.best(),
+            candidate: counted.candidate,
+            stable: counted.stable,
+            statistic: self.best_support,
             threshold: (1.0 / self.policy.accept_error).ln(),
         }
     }
