--- a/src/move_controller.rs
+++ b/src/move_controller.rs
@@ -153,7 +153,6 @@
 #[derive(Debug)]
 pub struct MoveController {
     node: NodeId,
-    policy: VerdictPolicy,
     started: Instant,
     drive: Option<MoveDrive>,
 }
@@ -181,10 +180,9 @@
 
 impl MoveController {
     /// Returns a controller for the service of this node's target.
-    pub fn new(node: &NodeId, policy: VerdictPolicy, now: Instant) -> Self {
+    pub fn new(node: &NodeId, now: Instant) -> Self {
         Self {
             node: node.clone(),
-            policy,
             started: now,
             drive: None,
         }
@@ -261,7 +259,8 @@
             .as_ref()
             .is_some_and(|drive| drive.move_id() == running.move_id);
         if !is_known {
-            self.drive = MoveDrive::new(&running.split, &self.policy, now_ms);
+            let policy = VerdictPolicy::for_preference(running.policy.prefer);
+            self.drive = MoveDrive::new(&running.split, &policy, now_ms);
         }
         let veto = board.vetoes.lock().against(&running.split).cloned();
         let input = DriveInput {
--- a/src/move_verdict.rs
+++ b/src/move_verdict.rs
@@ -5,15 +5,20 @@
 pub mod counter_history;
 pub mod odds_test;
 pub mod route_stratum;
+pub mod target_latency;
 
 use {
-    crate::ids::{RouteName, VersionName},
+    crate::{
+        config::MovePreference,
+        ids::{RouteName, VersionName},
+    },
     counter_history::CounterDifference,
     derive_more::Display,
     odds_test::{AcceptTest, ChangeTest, OutcomeTable},
     route_stratum::{RouteStratum, StableReference},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
+    target_latency::TargetLatency,
 };
 
 /// Parameters of the test; the defaults were chosen by the measurements in `docs/notes/moves.md`.
@@ -27,7 +32,8 @@
     pub margin_odds: f64,
     /// Largest gain of the failure statistic in one tick, in nats.
     pub failure_clip: f64,
-    /// Largest gain of the latency statistic in one tick, in nats.
+    /// Largest gain of the latency statistic in one tick for each target of the candidate that was called, in
+    /// nats. It sets how long a disturbance of one target must last to condemn the version.
     pub slow_clip: f64,
     /// Calls of a route on one target whose latency is set aside because of cold starts.
     pub warm_calls: u64,
@@ -39,6 +45,20 @@
     pub route_calls: u64,
 }
 
+impl VerdictPolicy {
+    /// Returns the parameters for a preference.
+    pub fn for_preference(prefer: MovePreference) -> Self {
+        let slow_clip = match prefer {
+            MovePreference::Safety => 0.3,
+            MovePreference::Punctuality => 0.2,
+        };
+        Self {
+            slow_clip,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for VerdictPolicy {
     fn default() -> Self {
         Self {
@@ -46,7 +66,7 @@
             accept_error: 0.05,
             margin_odds: 3.0,
             failure_clip: 6.0,
-            slow_clip: 0.5,
+            slow_clip: 0.3,
             warm_calls: 16,
             warm_time: Duration::from_secs(60),
             slow_quantiles: vec![0.5, 0.8, 0.95],
@@ -156,6 +176,7 @@
     stable: VersionName,
     routes: BTreeMap<RouteName, RouteTest>,
     overall: TestPair,
+    latency: TargetLatency,
     best_support: f64,
     suspicious: bool,
     condemned: Option<VerdictEvidence>,
@@ -190,13 +211,20 @@
     fn advance(&mut self, tables: &[StratumTables], policy: &VerdictPolicy) {
         let failures: Vec<OutcomeTable> = tables.iter().map(|tables| tables.failures).collect();
         let ticks = tables.iter().map(|tables| tables.ticks).max().unwrap_or(1);
-        self.failures.advance(&failures, policy.failure_clip, ticks);
+        let targets = tables
+            .iter()
+            .map(|tables| tables.candidate_targets)
+            .max()
+            .unwrap_or(0);
+        let failure_gain = policy.failure_clip * f64::from(ticks);
+        let slow_gain = policy.slow_clip * f64::from(ticks * targets.max(1));
+        self.failures.advance(&failures, failure_gain, ticks);
         for (index, test) in self.slow.iter_mut().enumerate() {
             let slow: Vec<OutcomeTable> = tables
                 .iter()
                 .filter_map(|tables| tables.slow.get(index).copied())
                 .collect();
-            test.advance(&slow, policy.slow_clip, ticks);
+            test.advance(&slow, slow_gain, ticks);
         }
     }
 
@@ -217,6 +245,8 @@
     pub bad: Option<OutcomeTable>,
     /// Ticks that the stratum covers.
     pub ticks: u32,
+    /// Targets of the candidate that were called.
+    pub candidate_targets: u32,
 }
 
 impl VerdictTest {
@@ -227,6 +257,7 @@
             stable: stable.to_owned(),
             routes: BTreeMap::new(),
             overall: TestPair::new(policy.slow_quantiles.len()),
+            latency: TargetLatency::default(),
             best_support: 0.0,
             suspicious: false,
             condemned: None,
@@ -306,15 +337,22 @@
 
     fn close_strata(&mut self) {
         let mut closed = Vec::new();
+        let outlier = self.latency.outlier();
+        self.latency.tick();
         for route in self.routes.values_mut() {
             route.stratum.tick();
             if !route.stratum.is_complete() {
                 continue;
             }
-            let tables =
-                route
-                    .stratum
-                    .tables(&route.reference, &self.policy.slow_quantiles, BAD_QUANTILE);
+            let tables = route.stratum.tables(
+                &route.reference,
+                &self.policy.slow_quantiles,
+                BAD_QUANTILE,
+                outlier.as_ref(),
+            );
+            if let Some(first_slow) = route.reference.first_above(BAD_QUANTILE) {
+                self.latency.absorb(&route.stratum, first_slow);
+            }
             route.reference.absorb(&route.stratum);
             route.stratum = RouteStratum::default();
             route
--- a/src/move_verdict/route_stratum.rs
+++ b/src/move_verdict/route_stratum.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{BadCount, StratumTables, counter_history::CounterDifference, odds_test::OutcomeTable},
-    crate::call_evidence::BUCKET_COUNT,
+    crate::{call_evidence::BUCKET_COUNT, ids::NodeId},
+    std::collections::BTreeMap,
 };
 
 /// Stable calls from which an interval is not extended further.
@@ -124,6 +125,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteStratum {
     candidate: VersionCalls,
+    candidate_targets: BTreeMap<NodeId, VersionCalls>,
     stable: VersionCalls,
     ticks: u32,
 }
@@ -132,6 +134,10 @@
     /// Adds calls of the candidate.
     pub fn add_candidate(&mut self, difference: &CounterDifference) {
         self.candidate.add(difference);
+        self.candidate_targets
+            .entry(difference.node.clone())
+            .or_default()
+            .add(difference);
     }
 
     /// Adds calls of the stable version.
@@ -155,19 +161,38 @@
         enough || long || self.ticks >= MAX_TICKS
     }
 
+    /// Returns the slow calls of each target of the candidate.
+    pub fn slow_by_target(&self, first_slow: usize) -> impl Iterator<Item = (&NodeId, BadCount)> {
+        self.candidate_targets
+            .iter()
+            .map(move |(node, calls)| (node, calls.slow(first_slow)))
+    }
+
+    fn slow_without(&self, first_slow: usize, outlier: Option<&NodeId>) -> BadCount {
+        let mut sum = BadCount::default();
+        for (node, count) in self.slow_by_target(first_slow) {
+            if Some(node) != outlier {
+                sum.calls += count.calls;
+                sum.bad += count.bad;
+            }
+        }
+        sum
+    }
+
     /// Returns the tables of the interval; quantiles come from earlier calls, so that the choice of the
-    /// boundary does not depend on the calls it divides.
+    /// boundary does not depend on the calls it divides. A disturbed target is left out of the latency.
     pub fn tables(
         &self,
         reference: &StableReference,
         quantiles: &[f64],
         bad_quantile: f64,
+        outlier: Option<&NodeId>,
     ) -> StratumTables {
         let slow = quantiles
             .iter()
             .filter_map(|quantile| reference.first_above(*quantile))
             .map(|first_slow| OutcomeTable {
-                candidate: self.candidate.slow(first_slow),
+                candidate: self.slow_without(first_slow, outlier),
                 stable: self.stable.slow(first_slow),
             })
             .collect();
@@ -185,6 +210,7 @@
             slow,
             bad,
             ticks: self.ticks,
+            candidate_targets: self.candidate_targets.len() as u32,
         }
     }
 }
--- a/tests/move_verdict.rs
+++ b/tests/move_verdict.rs
@@ -28,6 +28,7 @@
     buckets[bucket_of(FAST)] = calls - slow;
     buckets[bucket_of(SLOW)] = slow;
     CounterDifference {
+        node: format!("{version}-0"),
         version: version.to_owned(),
         route: route.to_owned(),
         calls,
