Test the call path against scripted targets

Cause: the call path had no tests and no target to run against. Change: a stand-in target with scripted failures that records every run, a stand-in caller that keeps a history, and tests of whole answers, refusals, resets, retries, deadlines, cancellation and drain. Nodes now keep refused bodies open for a short time, and a long upload waits with its kept prefix until the target's node asks for the rest.

--- a/src/call_events.rs
+++ b/src/call_events.rs
@@ -17,6 +17,9 @@
 /// Code of a refusal, as sent in `poplarwing-reason`.
 pub type ReasonCode = Cow<'static, str>;
 
+/// Reason of a call that met a pooled connection which was already closed, before any of it was sent.
+pub const STALE_REASON: &str = "stale-connection";
+
 /// What a refused caller may assume about its call.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum CallOutcome {
--- a/src/call_proxy.rs
+++ b/src/call_proxy.rs
@@ -7,6 +7,7 @@
 pub mod http_server;
 pub mod intake;
 pub mod keyed;
+pub mod received_body;
 
 use {
     self::{
@@ -16,6 +17,7 @@
         http_server::{DRAIN_GRACE, DrainPlan, serve_http},
         intake::{RoutedCall, route_call},
         keyed::{KeyedHooks, KeyedStart, KeyedTicket},
+        received_body::receive_request,
     },
     crate::{
         blackboard::Blackboard,
@@ -29,8 +31,7 @@
     },
     bytes::Bytes,
     http::{Request, Response},
-    http_body::{Body, Frame, SizeHint},
-    http_body_util::{BodyExt, combinators::UnsyncBoxBody},
+    http_body_util::combinators::UnsyncBoxBody,
     hyper::body::Incoming,
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
@@ -38,19 +39,14 @@
     },
     parking_lot::Mutex,
     std::{
-        pin::Pin,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        task::{Context, Poll},
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, time::timeout},
-    tokio_util::{
-        sync::CancellationToken,
-        task::{TaskTracker, task_tracker::TaskTrackerToken},
-    },
+    tokio::net::TcpListener,
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
 /// A body on its way through a node.
@@ -62,14 +58,6 @@
 /// Idle time after which a connection to another node is closed; below the idle time of its server.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Bytes of a refused request that are read and dropped.
-///
-/// A connection that is closed with unread data is reset, and the reset can overtake the refusal.
-const DRAINED_BYTES: u64 = 1024 * 1024;
-
-/// Time for reading the rest of a refused request.
-const DRAIN_BODY_TIME: Duration = Duration::from_secs(2);
-
 /// What the servers of the call path share.
 #[derive(Debug)]
 pub struct CallContext {
@@ -134,16 +122,6 @@
         CallRefusal::not_run(503, "draining", message)
     }
 
-    /// Reads and drops the rest of a refused request in the background.
-    pub(crate) fn drain_body<B>(&self, body: B)
-    where
-        B: Body<Data = Bytes> + Send + Unpin + 'static,
-    {
-        if !body.is_end_stream() {
-            tokio::spawn(timeout(DRAIN_BODY_TIME, read_and_drop(body)));
-        }
-    }
-
     pub(crate) fn report_target_refusal(&self, call: &TargetCall, refusal: &CallRefusal) {
         let latency = call.started.elapsed();
         let event = CallEnd {
@@ -164,16 +142,6 @@
     }
 }
 
-async fn read_and_drop<B: Body<Data = Bytes> + Unpin>(mut body: B) {
-    let mut read = 0;
-    while let Some(Ok(frame)) = body.frame().await {
-        read += frame.data_ref().map_or(0, |data| data.len() as u64);
-        if read > DRAINED_BYTES {
-            return;
-        }
-    }
-}
-
 fn forward_client() -> Client<HttpConnector, ExchangeBody> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
@@ -186,42 +154,6 @@
         .build(connector)
 }
 
-/// A received body that counts as an exchange in progress until it is dropped.
-struct TrackedBody {
-    inner: Incoming,
-    _token: TaskTrackerToken,
-}
-
-/// Wraps a received body; `token` keeps a draining server up until it has been read or given up.
-pub(crate) fn incoming_body(inner: Incoming, token: TaskTrackerToken) -> ExchangeBody {
-    let tracked = TrackedBody {
-        inner,
-        _token: token,
-    };
-    tracked.boxed_unsync()
-}
-
-impl Body for TrackedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(context);
-        polled.map_err(BodyError::Source)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
 /// Serves callers until drained.
 pub async fn serve_calls(
     listener: TcpListener,
@@ -240,7 +172,7 @@
     drain: CancellationToken,
     request: Request<Incoming>,
 ) -> Response<ExchangeBody> {
-    let token = context.exchanges.token();
+    let request = receive_request(request, context.exchanges.token());
     let mut progress = CallProgress::new(context.clone());
     let routed = match drain.is_cancelled() {
         true => Err(context.draining_refusal()),
@@ -249,18 +181,14 @@
     let (head, body) = request.into_parts();
     let call = match routed {
         Ok(call) => call,
-        Err(refusal) => {
-            context.drain_body(body);
-            return give_refusal(progress, refusal);
-        }
+        Err(refusal) => return give_refusal(progress, refusal),
     };
     progress.note_route(&call);
-    let body = ReplayBuffer::new(incoming_body(body, token), call.route.body_limit.value);
+    let body = ReplayBuffer::new(body, call.route.body_limit.value);
     let ticket = match begin_keyed(&context, &call).await {
         Ok(ticket) => ticket,
         Err(response) => {
             let (response, refusal) = *response;
-            context.drain_body(body.rest());
             return match refusal {
                 Some(refusal) => give_refusal(progress, refusal),
                 None => give_answer(progress, response, &call, None),
@@ -270,7 +198,6 @@
     match run_attempts(&context, &call, &head, &body, &mut progress).await {
         AttemptOutcome::Answered(response) => give_answer(progress, response, &call, ticket),
         AttemptOutcome::Refused(refusal) => {
-            context.drain_body(body.rest());
             settle_refused(&context, ticket, &refusal);
             give_refusal(progress, refusal)
         }
--- a/src/call_proxy/attempt.rs
+++ b/src/call_proxy/attempt.rs
@@ -4,12 +4,12 @@
     super::{
         CallContext, ExchangeBody,
         answer::CallProgress,
-        body::{BodyError, GuardedBody, ReplayBuffer},
+        body::{BodyError, GuardedBody, ReplayBody, ReplayBuffer},
         headers::{HOP_HEADER, HopRecord, parse_refusal, set_timeout, strip_headers},
         intake::{RoutedCall, over_limit},
     },
     crate::{
-        call_events::{CallOutcome, CallRefusal, ReasonCode, RouteDecision},
+        call_events::{CallOutcome, CallRefusal, RouteDecision, STALE_REASON},
         forward_server::{TargetCall, exchange_here},
         ids::NodeId,
         membership::TargetEndpoint,
@@ -21,9 +21,14 @@
         target_client::{exchange_error, peer_uri},
     },
     bytes::Bytes,
-    http::{HeaderValue, Request, Response, Version, header::HOST, request::Parts},
+    http::{
+        HeaderValue, Request, Response, StatusCode, Version,
+        header::{EXPECT, HOST},
+        request::Parts,
+    },
     http_body::Body,
     http_body_util::BodyExt,
+    hyper::ext::on_informational,
     rand::Rng,
     std::{
         sync::Arc,
@@ -58,7 +63,28 @@
     tried: Vec<NodeId>,
     attempts: u32,
     may_have_run: bool,
-    last_reason: Option<ReasonCode>,
+    last: Option<CallRefusal>,
+}
+
+impl AttemptHistory {
+    /// Returns the refusal for the caller, which must cover all attempts and not only the last one.
+    fn refuse(&self, refusal: CallRefusal) -> AttemptOutcome {
+        if refusal.outcome != CallOutcome::NotRun || !self.may_have_run {
+            return AttemptOutcome::Refused(refusal);
+        }
+        AttemptOutcome::Refused(CallRefusal {
+            status: 502,
+            outcome: CallOutcome::Unknown,
+            contract_line: None,
+            ..refusal
+        })
+    }
+
+    /// Notes an attempt after which another one follows.
+    fn note(&mut self, fate: AttemptFate, refusal: CallRefusal) {
+        self.may_have_run |= fate != AttemptFate::NotRun;
+        self.last = Some(refusal);
+    }
 }
 
 /// The version and target of one attempt.
@@ -68,6 +94,20 @@
     target: TargetChoice,
 }
 
+/// An attempt that gave no answer, or one that another target may better.
+struct FailedAttempt {
+    fate: AttemptFate,
+    refusal: CallRefusal,
+    answer: Option<Response<ExchangeBody>>,
+}
+
+impl FailedAttempt {
+    /// Returns whether the request met a pooled connection that was already closed.
+    fn is_stale(&self) -> bool {
+        self.fate == AttemptFate::NotRun && self.refusal.reason == STALE_REASON
+    }
+}
+
 /// Runs attempts until one gives an answer or the retry rule forbids another.
 pub async fn run_attempts<B>(
     context: &Arc<CallContext>,
@@ -83,64 +123,81 @@
     let mut history = AttemptHistory::default();
     let draw = rand::rng().random_range(0..FULL_SHARE_PERMILLE);
     context.budget.lock().earn(Instant::now());
-    let mut last: Option<CallRefusal> = None;
     loop {
-        let Some(choice) = choose(context, call, draw, &history) else {
-            return refuse(last.unwrap_or_else(|| no_target(call)), &history);
-        };
-        let Some(attempt_body) = body.next_attempt() else {
-            return refuse(last.unwrap_or_else(|| no_target(call)), &history);
+        let choice = choose(context, call, draw, &history);
+        let (Some(choice), Some(attempt_body)) = (choice, body.next_attempt()) else {
+            let last = history.last.take();
+            return history.refuse(last.unwrap_or_else(|| no_target(call)));
         };
         history.attempts += 1;
         report_choice(context, call, &choice, &history, progress);
-        let node = choice.target.target.node.clone();
         let attempt = Attempt {
             context,
             call,
             head,
             choice: &choice,
         };
-        let attempted = attempt.run(attempt_body, progress).await;
-        let (fate, refusal, answer) = match attempted {
-            Ok(answer) if !is_gateway_error(&answer) => {
+        let failed = match judge(attempt.run(attempt_body, progress).await) {
+            Ok(answer) => {
                 body.stop_keeping();
                 return AttemptOutcome::Answered(answer);
             }
-            Ok(answer) => (AttemptFate::ServerError, bad_gateway(&answer), Some(answer)),
-            Err(refusal) => (fate_of(&refusal), refusal, None),
+            Err(failed) => failed,
         };
         if body.is_over_limit() {
-            return refuse(over_limit_midway(call, fate), &history);
+            return history.refuse(over_limit_midway(call, failed.fate));
         }
-        let stale = refusal.reason == "stale-connection";
-        let again = fate != AttemptFate::Unknown || refusal.reason != "deadline";
-        let allowed = again
-            && may_repeat(fate, call.route.idempotent)
-            && history.attempts < MAX_ATTEMPTS
-            && Instant::now() < call.deadline
-            && body.can_repeat();
-        if !stale {
-            history.tried.push(node);
+        // A target that was reached over a closed connection has not been tried yet.
+        if !failed.is_stale() {
+            history.tried.push(choice.target.target.node);
         }
-        // A request that met a closed pooled connection never left this node: sending it is no retry.
-        let allowed = allowed
-            && choose(context, call, draw, &history).is_some()
-            && (stale || context.budget.lock().spend(Instant::now()));
-        if !allowed {
-            return match answer {
-                Some(answer) => {
-                    body.stop_keeping();
-                    AttemptOutcome::Answered(answer)
-                }
-                None => refuse(refusal, &history),
+        if !body.can_repeat() || !may_try_again(context, call, draw, &history, &failed) {
+            body.stop_keeping();
+            return match failed.answer {
+                Some(answer) => AttemptOutcome::Answered(answer),
+                None => history.refuse(failed.refusal),
             };
         }
-        history.may_have_run |= fate != AttemptFate::NotRun;
-        history.last_reason = Some(refusal.reason.clone());
-        last = Some(refusal);
+        history.note(failed.fate, failed.refusal);
+    }
+}
+
+/// Returns the answer of an attempt unless the retry rule has a say in it.
+fn judge(
+    attempted: Result<Response<ExchangeBody>, CallRefusal>,
+) -> Result<Response<ExchangeBody>, Box<FailedAttempt>> {
+    match attempted {
+        Ok(answer) if !is_gateway_error(&answer) => Ok(answer),
+        Ok(answer) => Err(Box::new(FailedAttempt {
+            fate: AttemptFate::ServerError,
+            refusal: bad_gateway(&answer),
+            answer: Some(answer),
+        })),
+        Err(refusal) => Err(Box::new(FailedAttempt {
+            fate: fate_of(&refusal),
+            refusal,
+            answer: None,
+        })),
     }
 }
 
+/// Applies the retry rule; takes a retry token if it allows another attempt.
+fn may_try_again(
+    context: &CallContext,
+    call: &RoutedCall,
+    draw: u32,
+    history: &AttemptHistory,
+    failed: &FailedAttempt,
+) -> bool {
+    let now = Instant::now();
+    may_repeat(failed.fate, call.route.idempotent)
+        && history.attempts < MAX_ATTEMPTS
+        && now < call.deadline
+        && choose(context, call, draw, history).is_some()
+        // A request that met a closed connection never left this node, so sending it is no retry.
+        && (failed.is_stale() || context.budget.lock().spend(now))
+}
+
 fn fate_of(refusal: &CallRefusal) -> AttemptFate {
     match refusal.outcome {
         CallOutcome::NotRun => AttemptFate::NotRun,
@@ -170,19 +227,6 @@
     }
 }
 
-/// Returns the refusal for the caller, which must cover all attempts and not only the last one.
-fn refuse(refusal: CallRefusal, history: &AttemptHistory) -> AttemptOutcome {
-    if refusal.outcome != CallOutcome::NotRun || !history.may_have_run {
-        return AttemptOutcome::Refused(refusal);
-    }
-    AttemptOutcome::Refused(CallRefusal {
-        status: 502,
-        outcome: CallOutcome::Unknown,
-        contract_line: None,
-        ..refusal
-    })
-}
-
 fn no_target(call: &RoutedCall) -> CallRefusal {
     let message = format!("choose a target of {}: none is available", call.key);
     CallRefusal::not_run(503, "no-target", message)
@@ -249,7 +293,7 @@
         node: choice.target.target.node.clone(),
         target_reason: choice.target.reason,
         passed_over: choice.target.passed_over.clone(),
-        retried_after: history.last_reason.clone(),
+        retried_after: history.last.as_ref().map(|last| last.reason.clone()),
     };
     (context.hooks.on_route)(&decision);
 }
@@ -300,16 +344,28 @@
 }
 
 impl Attempt<'_> {
-    async fn run(
+    async fn run<B>(
         &self,
-        body: ExchangeBody,
+        body: ReplayBody<B>,
         progress: &mut CallProgress,
-    ) -> Result<Response<ExchangeBody>, CallRefusal> {
+    ) -> Result<Response<ExchangeBody>, CallRefusal>
+    where
+        B: Body<Data = Bytes> + Unpin + Send + 'static,
+        B::Error: Into<BodyError>,
+    {
         let node = &self.choice.target.target.node;
         let mut guard = LoadGuard::new(self.context.clone(), node);
         let cancel = CancellationToken::new();
+        let admission = body.admission();
+        let is_long = body.exceeds_prefix();
+        let body = body.boxed_unsync();
         let body = GuardedBody::new(body, &cancel, self.call.deadline, ()).boxed_unsync();
-        let request = self.request(body)?;
+        let mut request = self.request(body)?;
+        if self.is_local() {
+            admission();
+        } else if is_long {
+            wait_for_admission(&mut request, admission);
+        }
         let cancel = cancel.drop_guard();
         let sent = timeout_at(self.call.deadline.into(), self.send(request)).await;
         let answered = sent.unwrap_or_else(|_| Err(self.late()));
@@ -336,17 +392,20 @@
         Ok(request)
     }
 
+    fn is_local(&self) -> bool {
+        self.choice.target.target.node == self.context.settings.node.id
+    }
+
     async fn send(
         &self,
         request: Request<ExchangeBody>,
     ) -> Result<Response<ExchangeBody>, CallRefusal> {
-        let target = &self.choice.target.target;
         let hop = HopRecord {
             key: self.call.key.clone(),
             version: self.choice.version.version.clone(),
             route: self.call.route.name.clone(),
         };
-        if target.node == self.context.settings.node.id {
+        if self.is_local() {
             let call = TargetCall {
                 hop,
                 started: Instant::now(),
@@ -377,7 +436,7 @@
             let error = exchange_error(&error, &peer);
             match (error.fate, error.stale) {
                 (AttemptFate::NotRun, true) => {
-                    CallRefusal::not_run(503, "stale-connection", error.to_string())
+                    CallRefusal::not_run(503, STALE_REASON, error.to_string())
                 }
                 (AttemptFate::NotRun, false) => {
                     CallRefusal::not_run(503, "node-unreachable", error.to_string())
@@ -403,6 +462,23 @@
     }
 }
 
+/// Sends no more than the kept prefix until the target's node asks for the rest.
+///
+/// The node asks once it has admitted the call and is connected to its target, so a refusal finds the
+/// body still complete here, however long it is.
+fn wait_for_admission(
+    request: &mut Request<ExchangeBody>,
+    admission: impl Fn() + Send + Sync + 'static,
+) {
+    let headers = request.headers_mut();
+    headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
+    on_informational(request, move |answer| {
+        if answer.status() == StatusCode::CONTINUE {
+            admission();
+        }
+    });
+}
+
 /// Load and upload of an attempt whose answer is on its way to the caller.
 #[derive(Debug)]
 pub struct AnswerHold {
@@ -433,7 +509,7 @@
         (CallOutcome::NotRun, "queue-full" | "no-slot" | "rate-limit" | "concurrency-limit") => {
             AttemptEnd::Saturated
         }
-        (CallOutcome::NotRun, "stale-connection" | "route-unknown-here" | "deadline") => {
+        (CallOutcome::NotRun, STALE_REASON | "route-unknown-here" | "deadline") => {
             AttemptEnd::Cancelled
         }
         (CallOutcome::NotRun, _) => AttemptEnd::Unavailable,
--- a/src/call_proxy/body.rs
+++ b/src/call_proxy/body.rs
@@ -6,13 +6,13 @@
     bytes::Bytes,
     derive_more::Debug,
     http_body::{Body, Frame, SizeHint},
-    http_body_util::BodyExt,
     parking_lot::Mutex,
     std::{
         future::Future,
+        mem::take,
         pin::Pin,
         sync::Arc,
-        task::{Context, Poll, ready},
+        task::{Context, Poll, Waker, ready},
         time::Instant,
     },
     thiserror::Error,
@@ -51,17 +51,22 @@
 
 /// A caller's request body and the prefix of it that is kept for another attempt.
 ///
-/// Invariants: `kept` holds everything received so far while `complete_prefix` is true and `keep` has
-/// not been ended; only the body of the latest attempt reads.
+/// Invariants: `kept` holds everything received and released so far while `complete_prefix` is true and
+/// `keep` has not been ended; only the body of the latest attempt reads; nothing beyond the kept prefix
+/// is released before the latest attempt is admitted.
 #[derive(Debug)]
 struct BodySource<B> {
     #[debug(skip)]
     incoming: B,
+    /// Received, but not released yet.
+    held: Bytes,
     kept: Vec<Bytes>,
     kept_bytes: usize,
     keep: bool,
     complete_prefix: bool,
     attempt: u32,
+    admitted: bool,
+    waiting: Option<Waker>,
     received: u64,
     limit: u64,
     over_limit: bool,
@@ -85,11 +90,14 @@
         let total = incoming.size_hint().exact();
         let source = BodySource {
             incoming,
+            held: Bytes::new(),
             kept: Vec::new(),
             kept_bytes: 0,
             keep: true,
             complete_prefix: true,
             attempt: 0,
+            admitted: false,
+            waiting: None,
             received: 0,
             limit,
             over_limit: false,
@@ -104,10 +112,10 @@
     /// Returns the body for the next attempt; none if it can no longer be sent from its beginning.
     ///
     /// The body of the attempt before fails from now on, so that two attempts never share the rest.
-    pub fn next_attempt(&self) -> Option<ExchangeBody> {
+    pub fn next_attempt(&self) -> Option<ReplayBody<B>> {
         let mut source = self.source.lock();
-        source.attempt += 1;
         let usable = source.is_repeatable();
+        source.start_attempt();
         let body = ReplayBody {
             source: self.source.clone(),
             attempt: source.attempt,
@@ -115,21 +123,7 @@
             sent: 0,
             total: self.total,
         };
-        usable.then(|| body.boxed_unsync())
-    }
-
-    /// Returns what the caller has yet to send, for a call that was refused.
-    pub fn rest(&self) -> ExchangeBody {
-        let mut source = self.source.lock();
-        source.attempt += 1;
-        let body = ReplayBody {
-            source: self.source.clone(),
-            attempt: source.attempt,
-            next_kept: source.kept.len(),
-            sent: 0,
-            total: None,
-        };
-        body.boxed_unsync()
+        usable.then_some(body)
     }
 
     /// Returns whether the body can still be sent from its beginning.
@@ -154,7 +148,8 @@
 }
 
 /// The request body of one attempt.
-struct ReplayBody<B> {
+#[derive(Debug)]
+pub struct ReplayBody<B> {
     source: Arc<Mutex<BodySource<B>>>,
     attempt: u32,
     next_kept: usize,
@@ -162,6 +157,26 @@
     total: Option<u64>,
 }
 
+impl<B: Send + 'static> ReplayBody<B> {
+    /// Returns whether the body may be longer than the prefix that is kept.
+    pub fn exceeds_prefix(&self) -> bool {
+        let known = self.total.and_then(|total| usize::try_from(total).ok());
+        known.is_none_or(|total| total > KEPT_PREFIX_BYTES)
+    }
+
+    /// Returns what lets the attempt send more than the kept prefix.
+    pub fn admission(&self) -> impl Fn() + Send + Sync + use<B> {
+        let (source, attempt) = (self.source.clone(), self.attempt);
+        move || {
+            let mut source = source.lock();
+            if source.attempt == attempt {
+                source.admitted = true;
+                source.waiting.take().into_iter().for_each(Waker::wake);
+            }
+        }
+    }
+}
+
 type FrameResult = Option<Result<Frame<Bytes>, BodyError>>;
 
 impl<B> Body for ReplayBody<B>
@@ -195,6 +210,7 @@
         let source = self.source.lock();
         source.attempt == self.attempt
             && self.next_kept >= source.kept.len()
+            && source.held.is_empty()
             && source.incoming.is_end_stream()
     }
 
@@ -215,11 +231,25 @@
         self.complete_prefix && self.keep && !self.over_limit && !self.broken
     }
 
+    fn start_attempt(&mut self) {
+        self.attempt += 1;
+        self.admitted = false;
+        // The body of the attempt before learns by polling that it is superseded.
+        self.waiting.take().into_iter().for_each(Waker::wake);
+    }
+
     /// Reads on; called only after the latest attempt has sent all that is kept.
     fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<FrameResult> {
         if !self.keep {
             self.kept = Vec::new();
         }
+        if !self.admitted && self.kept_bytes >= KEPT_PREFIX_BYTES {
+            self.waiting = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        if !self.held.is_empty() {
+            return Poll::Ready(Some(Ok(Frame::data(self.release()))));
+        }
         let polled = ready!(Pin::new(&mut self.incoming).poll_frame(context));
         Poll::Ready(match polled {
             None => None,
@@ -232,30 +262,44 @@
     }
 
     fn take_in(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, BodyError> {
-        let Some(data) = frame.data_ref() else {
-            // Trailers are not kept, so a body whose trailers were read is not sent again.
-            self.complete_prefix = false;
-            return Ok(frame);
+        let data = match frame.into_data() {
+            Ok(data) => data,
+            Err(trailers) => {
+                // Trailers are not kept, so a body whose trailers were read is not sent again.
+                self.complete_prefix = false;
+                return Ok(trailers);
+            }
         };
         self.received += data.len() as u64;
         if self.received > self.limit {
             self.over_limit = true;
             return Err(BodyError::OverLimit { limit: self.limit });
         }
-        self.keep_prefix(data.clone());
-        Ok(frame)
+        self.held = data;
+        Ok(Frame::data(self.release()))
+    }
+
+    /// Releases what was received, at most up to the end of the kept prefix before admission.
+    fn release(&mut self) -> Bytes {
+        let room = KEPT_PREFIX_BYTES.saturating_sub(self.kept_bytes);
+        let released = match self.admitted {
+            true => take(&mut self.held),
+            false => self.held.split_to(room.min(self.held.len())),
+        };
+        self.keep_prefix(released.clone());
+        released
     }
 
     fn keep_prefix(&mut self, data: Bytes) {
         if !self.keep || !self.complete_prefix {
             return;
         }
-        self.kept_bytes += data.len();
-        if self.kept_bytes > KEPT_PREFIX_BYTES {
+        if self.kept_bytes + data.len() > KEPT_PREFIX_BYTES {
             self.complete_prefix = false;
             self.kept = Vec::new();
             return;
         }
+        self.kept_bytes += data.len();
         self.kept.push(data);
     }
 }
@@ -317,8 +361,37 @@
 struct WatchedState {
     inner: Option<ExchangeBody>,
     watcher: Option<EndWatcher>,
-    /// Whether the receiver has read all there was and waits for more.
-    waiting: bool,
+    /// Task of a receiver that has read all there was and waits for more.
+    waiting: Option<Waker>,
+}
+
+impl WatchedState {
+    /// Takes the body away from its receiver.
+    fn take_away(&mut self) -> TakenBody {
+        TakenBody {
+            inner: self.inner.take(),
+            watcher: self.watcher.take(),
+            waiting: self.waiting.take(),
+        }
+    }
+}
+
+/// A body that was taken away from its receiver.
+struct TakenBody {
+    inner: Option<ExchangeBody>,
+    watcher: Option<EndWatcher>,
+    waiting: Option<Waker>,
+}
+
+impl TakenBody {
+    /// Ends the exchange, then wakes the receiver, which learns of it by polling.
+    fn end(self, end: BodyEnd) {
+        drop(self.inner);
+        if let Some(watcher) = self.watcher {
+            watcher(end);
+        }
+        self.waiting.into_iter().for_each(Waker::wake);
+    }
 }
 
 /// An answer's body that ends at the deadline and tells how it ended.
@@ -337,7 +410,7 @@
         let state = Arc::new(Mutex::new(WatchedState {
             inner: Some(inner),
             watcher: Some(watcher),
-            waiting: false,
+            waiting: None,
         }));
         let timer = (!ended).then(|| expire_at(state.clone(), deadline));
         Self { state, timer }
@@ -347,17 +420,12 @@
 fn expire_at(state: Arc<Mutex<WatchedState>>, deadline: Instant) -> AbortHandle {
     let expiry = async move {
         sleep_until(deadline.into()).await;
-        let (inner, waiting) = {
-            let mut state = state.lock();
-            (state.inner.take(), state.waiting)
-        };
-        drop(inner);
-        let end = if waiting {
-            BodyEnd::DeadlinePassed
-        } else {
-            BodyEnd::Unread
+        let taken = state.lock().take_away();
+        let end = match taken.waiting.is_some() {
+            true => BodyEnd::DeadlinePassed,
+            false => BodyEnd::Unread,
         };
-        finish(&state, end);
+        taken.end(end);
     };
     tokio::spawn(expiry).abort_handle()
 }
@@ -377,12 +445,13 @@
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<FrameResult> {
         let (polled, ended) = {
             let mut state = self.state.lock();
+            let state = &mut *state;
             let Some(inner) = state.inner.as_mut() else {
                 return Poll::Ready(Some(Err(BodyError::DeadlinePassed)));
             };
             let polled = Pin::new(&mut *inner).poll_frame(context);
             let ended = inner.is_end_stream();
-            state.waiting = polled.is_pending();
+            state.waiting = polled.is_pending().then(|| context.waker().clone());
             (ready!(polled), ended)
         };
         match &polled {
@@ -416,16 +485,12 @@
             timer.abort();
         }
         let ended = self.is_end_stream();
-        let (inner, waiting) = {
-            let mut state = self.state.lock();
-            (state.inner.take(), state.waiting)
-        };
-        drop(inner);
-        let end = match (ended, waiting) {
+        let taken = self.state.lock().take_away();
+        let end = match (ended, taken.waiting.is_some()) {
             (true, _) => BodyEnd::Whole,
             (false, true) => BodyEnd::Cancelled,
             (false, false) => BodyEnd::Unread,
         };
-        finish(&self.state, end);
+        taken.end(end);
     }
 }
--- a/src/forward_server.rs
+++ b/src/forward_server.rs
@@ -9,13 +9,13 @@
         exchange_trace::{ExchangeHold, ExchangeTrace},
     },
     crate::{
-        call_events::CallRefusal,
+        call_events::{CallRefusal, STALE_REASON},
         call_proxy::{
             CallContext, ExchangeBody,
             body::{GuardedBody, WatchedBody},
             headers::{HopRecord, parse_timeout, refusal_response, set_timeout, strip_headers},
             http_server::serve_http,
-            incoming_body,
+            received_body::receive_request,
         },
         config::RouteSpec,
         retry_budget::AttemptFate,
@@ -54,20 +54,12 @@
     drain: CancellationToken,
     request: Request<Incoming>,
 ) -> Response<ExchangeBody> {
-    let token = context.exchanges.token();
-    match accept_forward(&context, &drain, &request) {
-        Ok(forward) => {
-            let request = request.map(|body| incoming_body(body, token));
-            match exchange_here(&context, forward, request).await {
-                Ok(response) => response,
-                Err(refusal) => refusal_response(&refusal),
-            }
-        }
-        Err(refusal) => {
-            context.drain_body(request.into_body());
-            refusal_response(&refusal)
-        }
-    }
+    let request = receive_request(request, context.exchanges.token());
+    let answered = match accept_forward(&context, &drain, request.headers()) {
+        Ok(forward) => exchange_here(&context, forward, request).await,
+        Err(refusal) => Err(refusal),
+    };
+    answered.unwrap_or_else(|refusal| refusal_response(&refusal))
 }
 
 /// A call for the own target.
@@ -84,15 +76,15 @@
 fn accept_forward(
     context: &CallContext,
     drain: &CancellationToken,
-    request: &Request<Incoming>,
+    headers: &HeaderMap,
 ) -> Result<TargetCall, CallRefusal> {
     if drain.is_cancelled() {
         return Err(context.draining_refusal());
     }
-    let hop = HopRecord::parse(request.headers())
+    let hop = HopRecord::parse(headers)
         .ok_or_else(|| CallRefusal::not_run(400, "invalid-hop", "read the hop header: invalid"))?;
     let started = Instant::now();
-    let remaining = parse_timeout(request.headers())?;
+    let remaining = parse_timeout(headers)?;
     Ok(TargetCall {
         hop,
         started,
@@ -111,7 +103,6 @@
     let admitted = match admit_call(context, &call).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
-            context.drain_body(request.into_body());
             context.report_target_refusal(&call, &refusal);
             return Err(refusal);
         }
@@ -184,7 +175,7 @@
 
 fn refuse_exchange(trace: ExchangeTrace, error: ExchangeError) -> CallRefusal {
     let reason = match (error.fate, error.stale) {
-        (AttemptFate::NotRun, true) => "stale-connection",
+        (AttemptFate::NotRun, true) => STALE_REASON,
         (AttemptFate::NotRun, false) => "target-unreachable",
         _ => "target-broke-off",
     };
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,4 @@
 //! Stand-ins.
+
+pub mod caller;
+pub mod target;
