--- a/src/route_table.rs
+++ b/src/route_table.rs
@@ -70,10 +70,10 @@
 pub fn is_ambiguous_path(path: &str) -> bool {
     let decoded = path
         .to_ascii_lowercase()
+        .replace("%25", "%")
         .replace("%2e", ".")
         .replace("%2f", "/")
-        .replace("%5c", "\\")
-        .replace("%25", "%");
+        .replace("%5c", "\\");
     let mut segments = decoded.split(['/', '\\']);
     segments.any(|segment| matches!(segment.split(';').next(), Some("." | "..")))
 }
