--- a/src/node/move_ports.rs
+++ b/src/node/move_ports.rs
@@ -12,7 +12,6 @@
             EvidenceSource, LeaseAsk, MoveController, MoveError, MoveEvent, MoveEventBody,
             MovePorts, MoveWork, SplitCommit, plan::StepChange,
         },
-        move_verdict::VerdictPolicy,
         node_metrics::{MoveResult, NodeMetrics},
         platform_store::PlatformStore,
         wire::EvidenceReply,
@@ -53,11 +52,7 @@
         let lease = SharedLease::default();
         Self {
             parts: parts.clone(),
-            controller: MoveController::new(
-                &parts.settings.node.id,
-                VerdictPolicy::default(),
-                Instant::now(),
-            ),
+            controller: MoveController::new(&parts.settings.node.id, Instant::now()),
             ports: move_ports(parts, &lease),
             lease,
         }
--- a/src/route_table.rs
+++ b/src/route_table.rs
@@ -41,10 +41,10 @@
 pub fn is_ambiguous_path(path: &str) -> bool {
     let decoded = path
         .to_ascii_lowercase()
+        .replace("%25", "%")
         .replace("%2e", ".")
         .replace("%2f", "/")
-        .replace("%5c", "\\")
-        .replace("%25", "%");
+        .replace("%5c", "\\");
     let mut segments = decoded.split(['/', '\\']);
     segments.any(|segment| matches!(segment.split(';').next(), Some("." | "..")))
 }
