--- a/src/config.rs
+++ b/src/config.rs
@@ -222,6 +222,8 @@
 pub struct ConfigSnapshot {
     /// Position in the fleet-wide sequence.
     pub version: ConfigVersion,
+    /// Time of the acceptance by the clock of the accepting node, milliseconds since the Unix epoch.
+    pub accepted_at_ms: u64,
     /// Resources by name.
     pub resources: BTreeMap<ResourceName, VersionedResource>,
 }
@@ -234,6 +236,8 @@
     pub from: ConfigVersion,
     /// Version that results.
     pub to: ConfigVersion,
+    /// Time of the acceptance of that version, milliseconds since the Unix epoch.
+    pub accepted_at_ms: u64,
     /// Content hash that results.
     pub hash: String,
     /// Resources added or changed.
@@ -385,6 +389,7 @@
         ConfigDelta {
             from: base.version,
             to: self.version,
+            accepted_at_ms: self.accepted_at_ms,
             hash: self.content_hash(),
             changed,
             removed,
@@ -401,6 +406,7 @@
         }
         let mut next = self.clone();
         next.version = delta.to;
+        next.accepted_at_ms = delta.accepted_at_ms;
         for name in &delta.removed {
             next.resources.remove(name);
         }
--- a/src/config_store.rs
+++ b/src/config_store.rs
@@ -658,6 +658,7 @@
 fn apply(current: &ConfigSnapshot, change: &ConfigChange) -> ConfigSnapshot {
     let mut next = current.clone();
     next.version = current.version + 1;
+    next.accepted_at_ms = unix_millis();
     for name in &change.removed {
         next.resources.remove(name);
     }
@@ -690,7 +691,7 @@
     AuditRecord {
         version: next.version,
         commit: commit.clone(),
-        at_ms: unix_millis(),
+        at_ms: next.accepted_at_ms,
         author: change.author.clone(),
         summary: change.summary.clone(),
         contract,
--- a/src/config_sync/delta_history.rs
+++ b/src/config_sync/delta_history.rs
@@ -106,6 +106,7 @@
     Some(ConfigDelta {
         from: from?,
         to: last.to,
+        accepted_at_ms: last.accepted_at_ms,
         hash: last.hash.clone(),
         changed: changed.into_values().collect(),
         removed: removed.into_iter().collect(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,7 @@
 //! Assembly of a node: builds the parts, connects them, runs them and stops them in order.
 
 pub mod admin_ports;
+pub mod apply_watch;
 pub mod call_reports;
 pub mod key_records;
 pub mod move_ports;
@@ -8,6 +9,7 @@
 use {
     self::{
         admin_ports::admin_hooks,
+        apply_watch::watch_applied,
         call_reports::{call_hooks, report_metrics},
         key_records::keyed_hooks,
         move_ports::MoveDriver,
@@ -134,6 +136,11 @@
         admin_context(&parts),
         background.clone(),
     ));
+    tasks.spawn(watch_applied(
+        parts.board.clone(),
+        parts.metrics.clone(),
+        background.clone(),
+    ));
     let reader = Arc::new(Mutex::new(DomainReader::new(
         &parts.settings,
         parts.store.clone(),
--- a/src/node/call_reports.rs
+++ b/src/node/call_reports.rs
@@ -102,7 +102,6 @@
             .metrics
             .add_control_sent(ControlChannel::Sync, grown.sync);
         let snapshot = parts.board.gate.current();
-        parts.metrics.set_config_version(snapshot.version);
         parts
             .metrics
             .set_version_shares(version_shares(&parts, &snapshot));
--- a/tests/call_support/cluster.rs
+++ b/tests/call_support/cluster.rs
@@ -142,6 +142,7 @@
     });
     ConfigSnapshot {
         version: 5,
+        accepted_at_ms: 0,
         resources: entries.collect(),
     }
 }
--- a/tests/config_rules.rs
+++ b/tests/config_rules.rs
@@ -54,6 +54,7 @@
     });
     ConfigSnapshot {
         version,
+        accepted_at_ms: 0,
         resources: entries.collect(),
     }
 }
--- a/tests/fleet_config.rs
+++ b/tests/fleet_config.rs
@@ -53,3 +53,28 @@
     })
     .await;
 }
+
+/// Guards against a convergence time that is documented but never measured.
+#[tokio::test(flavor = "multi_thread")]
+async fn convergence_time_of_a_change_is_measured_on_every_node() {
+    let fleet = TestFleet::start(3).await;
+    let first = fleet.apply_contract(0, CONTRACT, 0).await;
+    fleet.wait_in_force(first).await;
+    let changed = CONTRACT.replace("deadline = 5s", "deadline = 6s");
+
+    let second = fleet.apply_contract(1, &changed, 1).await;
+    fleet.wait_in_force(second).await;
+
+    for index in 0..fleet.nodes.len() {
+        let what = format!("node {index} has measured one convergence");
+        wait_until(&what, async || {
+            let answer = fleet.api(index, "GET", "/metrics", "").await;
+            answer.is_some_and(|answer| {
+                answer
+                    .text
+                    .contains("poplarwing_convergence_seconds_count 1")
+            })
+        })
+        .await;
+    }
+}
--- a/tests/support/fleet_fixture.rs
+++ b/tests/support/fleet_fixture.rs
@@ -75,6 +75,8 @@
     pub status: u16,
     /// JSON body; null if it is not JSON.
     pub body: Value,
+    /// Body as text.
+    pub text: String,
 }
 
 /// A platform stand-in and node processes.
@@ -141,6 +143,7 @@
         Some(ApiAnswer {
             status,
             body: serde_json::from_slice(&content).unwrap_or(Value::Null),
+            text: String::from_utf8_lossy(&content).into_owned(),
         })
     }
 
