Settle keyed calls without their callers

Cause: a caller that went away cancelled its keyed call, so the record of its key stayed unsettled and no repeat could learn the outcome. A caller that left while the key was being recorded blocked the key of a call that was not run.

--- a/src/call_proxy.rs
+++ b/src/call_proxy.rs
@@ -11,26 +11,25 @@
 
 use {
     self::{
-        answer::{CallProgress, give_answer, give_refusal, repeat_answer},
-        attempt::{AttemptOutcome, run_attempts},
+        answer::{CallProgress, give_answer, give_refusal},
+        attempt::run_attempts,
         body::{BodyError, ReplayBuffer},
+        headers::refusal_response,
         http_server::{DRAIN_GRACE, DrainPlan, serve_http},
         intake::{RoutedCall, route_call},
-        keyed::{KeyedHooks, KeyedStart, KeyedTicket},
+        keyed::{KeyedBegin, KeyedCall, KeyedHooks, begin_keyed, settle_keyed},
         received_body::receive_request,
     },
     crate::{
         blackboard::Blackboard,
-        call_events::{
-            BodyEnd, CallEnd, CallHooks, CallNumber, CallOutcome, CallRefusal, CallSide,
-        },
+        call_events::{BodyEnd, CallEnd, CallHooks, CallNumber, CallRefusal, CallSide},
         forward_server::{TargetCall, admission::ShareCache},
         retry_budget::RetryBudget,
         settings::NodeSettings,
         target_client::LocalTarget,
     },
     bytes::Bytes,
-    http::{Request, Response},
+    http::{Request, Response, request::Parts},
     http_body_util::combinators::UnsyncBoxBody,
     hyper::body::Incoming,
     hyper_util::{
@@ -184,59 +183,85 @@
         Err(refusal) => return give_refusal(progress, refusal),
     };
     progress.note_route(&call);
-    let body = ReplayBuffer::new(body, call.route.body_limit.value);
-    let ticket = match begin_keyed(&context, &call).await {
-        Ok(ticket) => ticket,
-        Err(response) => {
-            let (response, refusal) = *response;
-            return match refusal {
-                Some(refusal) => give_refusal(progress, refusal),
-                None => give_answer(progress, response, &call, None),
-            };
-        }
+    let accepted = AcceptedCall {
+        body: ReplayBuffer::new(body, call.route.body_limit.value),
+        context,
+        call,
+        head,
+        progress,
     };
-    match run_attempts(&context, &call, &head, &body, &mut progress).await {
-        AttemptOutcome::Answered(response) => give_answer(progress, response, &call, ticket),
-        AttemptOutcome::Refused(refusal) => {
-            settle_refused(&context, ticket, &refusal);
-            give_refusal(progress, refusal)
-        }
+    match accepted.call.keyed.clone() {
+        Some(keyed) => run_keyed(accepted, keyed).await,
+        None => accepted.run().await,
     }
 }
 
-/// Answer for a call whose key was used before, with the refusal if it is one.
-type KeyedStop = Box<(Response<ExchangeBody>, Option<CallRefusal>)>;
+/// A call that follows a route and may be sent on.
+struct AcceptedCall {
+    context: Arc<CallContext>,
+    call: RoutedCall,
+    head: Parts,
+    body: ReplayBuffer<ExchangeBody>,
+    progress: CallProgress,
+}
 
-async fn begin_keyed(
-    context: &CallContext,
-    call: &RoutedCall,
-) -> Result<Option<KeyedTicket>, KeyedStop> {
-    let Some(keyed) = &call.keyed else {
-        return Ok(None);
-    };
-    let start = match &context.keyed {
-        Some(hooks) => (hooks.begin)(keyed.clone()).await,
-        None => KeyedStart::Unavailable("this node keeps no records of keys".to_owned()),
-    };
-    match start {
-        KeyedStart::Run(ticket) => Ok(Some(ticket)),
-        KeyedStart::Repeat(repeat) => Err(Box::new(repeat_answer(repeat))),
-        KeyedStart::Unavailable(cause) => {
-            let message = format!("record the idempotency key: {cause}");
-            let refusal = CallRefusal::not_run(503, "key-record-unavailable", message);
-            let response = headers::refusal_response(&refusal);
-            Err(Box::new((response, Some(refusal))))
+impl AcceptedCall {
+    async fn run(mut self) -> Response<ExchangeBody> {
+        match self.attempt().await {
+            Ok(response) => give_answer(self.progress, response, self.call.deadline),
+            Err(refusal) => give_refusal(self.progress, refusal),
         }
     }
-}
 
-/// Removes the record of a keyed call that was not run; any other record stays as it is.
-fn settle_refused(context: &CallContext, ticket: Option<KeyedTicket>, refusal: &CallRefusal) {
-    let Some(ticket) = ticket else {
-        return;
-    };
-    if refusal.outcome == CallOutcome::NotRun {
-        let abandoned = (ticket.abandon)();
-        context.exchanges.spawn(abandoned);
+    async fn attempt(&mut self) -> Result<Response<ExchangeBody>, CallRefusal> {
+        let Self {
+            context,
+            call,
+            head,
+            body,
+            progress,
+        } = self;
+        run_attempts(context, call, head, body, progress).await
     }
+
+    /// Runs a call under its idempotency key.
+    async fn run_under_key(mut self, keyed: KeyedCall) -> Response<ExchangeBody> {
+        let ticket = match begin_keyed(self.context.keyed.as_ref(), keyed).await {
+            Ok(KeyedBegin::First(ticket)) => ticket,
+            Ok(KeyedBegin::Answered(kept)) => {
+                return give_answer(self.progress, kept, self.call.deadline);
+            }
+            Err(refusal) => return give_refusal(self.progress, refusal),
+        };
+        let answered = match Instant::now() < self.call.deadline {
+            true => self.attempt().await,
+            false => Err(late_record(&self.call)),
+        };
+        let settled = settle_keyed(
+            &self.context.exchanges,
+            ticket,
+            answered,
+            self.call.deadline,
+        );
+        match settled.await {
+            Ok(response) => give_answer(self.progress, response, self.call.deadline),
+            Err(refusal) => give_refusal(self.progress, refusal),
+        }
+    }
+}
+
+/// Runs a keyed call to its end even if its caller goes away, so that a repeat finds its answer.
+async fn run_keyed(accepted: AcceptedCall, keyed: KeyedCall) -> Response<ExchangeBody> {
+    let exchanges = accepted.context.exchanges.clone();
+    let running = exchanges.spawn(accepted.run_under_key(keyed));
+    running.await.unwrap_or_else(|cause| {
+        let message = format!("run keyed call: {cause}");
+        refusal_response(&CallRefusal::unknown(502, "node-failed", message))
+    })
+}
+
+fn late_record(call: &RoutedCall) -> CallRefusal {
+    let message = "record the idempotency key: the deadline passed";
+    CallRefusal::not_run(504, "deadline", message)
+        .at_line(&call.key.customer, call.route.deadline_line)
 }
--- a/src/call_proxy/answer.rs
+++ b/src/call_proxy/answer.rs
@@ -2,22 +2,16 @@
 
 use {
     super::{
-        CallContext, ExchangeBody,
-        attempt::AnswerHold,
-        body::{BodyError, WatchedBody},
-        headers::refusal_response,
-        intake::RoutedCall,
-        keyed::{KEPT_ANSWER_BYTES, KeptAnswer, KeyedRepeat, KeyedTicket},
+        CallContext, ExchangeBody, attempt::AnswerHold, body::WatchedBody,
+        headers::refusal_response, intake::RoutedCall,
     },
     crate::{
         call_events::{BodyEnd, CallEnd, CallNumber, CallRefusal, CallSide},
         config::ServiceKey,
         ids::{NodeId, RouteName, VersionName},
     },
-    bytes::{Bytes, BytesMut},
-    http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE},
-    http_body_util::{BodyExt, Full},
-    parking_lot::Mutex,
+    http::{Response, StatusCode},
+    http_body_util::BodyExt,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -150,126 +144,11 @@
 pub fn give_answer(
     mut progress: CallProgress,
     response: Response<ExchangeBody>,
-    call: &RoutedCall,
-    ticket: Option<KeyedTicket>,
+    deadline: Instant,
 ) -> Response<ExchangeBody> {
     progress.note_head(response.status());
-    let context = progress.context.clone();
-    let keeper = ticket.map(|ticket| AnswerKeeper::new(&response, ticket));
-    let kept = keeper.as_ref().map(|keeper| keeper.kept.clone());
     response.map(|body| {
-        let body = match kept {
-            Some(kept) => body
-                .map_frame(move |frame| {
-                    if let Some(data) = frame.data_ref() {
-                        kept.lock().add(data);
-                    }
-                    frame
-                })
-                .boxed_unsync(),
-            None => body,
-        };
-        let watcher = Box::new(move |end| {
-            if let Some(keeper) = keeper
-                && end == BodyEnd::Whole
-            {
-                context.exchanges.spawn(keeper.record());
-            }
-            progress.finish(end);
-        });
-        WatchedBody::new(body, call.deadline, watcher).boxed_unsync()
+        let watcher = Box::new(move |end| progress.finish(end));
+        WatchedBody::new(body, deadline, watcher).boxed_unsync()
     })
 }
-
-/// Beginning of an answer's body.
-///
-/// Invariant: `bytes` is none once the body is longer than `KEPT_ANSWER_BYTES`.
-#[derive(Debug)]
-struct KeptBody {
-    bytes: Option<BytesMut>,
-}
-
-impl KeptBody {
-    fn add(&mut self, data: &Bytes) {
-        let Some(bytes) = self.bytes.as_mut() else {
-            return;
-        };
-        if bytes.len() + data.len() > KEPT_ANSWER_BYTES {
-            self.bytes = None;
-        } else {
-            bytes.extend_from_slice(data);
-        }
-    }
-}
-
-/// Keeps the answer of a keyed call for repeats.
-struct AnswerKeeper {
-    status: u16,
-    content_type: Option<String>,
-    kept: Arc<Mutex<KeptBody>>,
-    ticket: KeyedTicket,
-}
-
-impl AnswerKeeper {
-    fn new(response: &Response<ExchangeBody>, ticket: KeyedTicket) -> Self {
-        let content_type = response
-            .headers()
-            .get(CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok());
-        Self {
-            status: response.status().as_u16(),
-            content_type: content_type.map(str::to_owned),
-            kept: Arc::new(Mutex::new(KeptBody {
-                bytes: Some(BytesMut::new()),
-            })),
-            ticket,
-        }
-    }
-
-    async fn record(self) {
-        let body = self.kept.lock().bytes.take().map(BytesMut::freeze);
-        let answer = KeptAnswer {
-            status: self.status,
-            content_type: self.content_type,
-            body,
-        };
-        (self.ticket.finish)(answer).await;
-    }
-}
-
-/// Returns the answer to a call whose key was used before, with the refusal if it is one.
-pub fn repeat_answer(repeat: KeyedRepeat) -> (Response<ExchangeBody>, Option<CallRefusal>) {
-    let refusal = match repeat {
-        KeyedRepeat::Answered(kept) => match kept_response(kept) {
-            Ok(response) => return (response, None),
-            Err(refusal) => refusal,
-        },
-        KeyedRepeat::Unsettled => {
-            let message = "the first call with this key has no known outcome yet";
-            CallRefusal::unknown(409, "key-unsettled", message)
-        }
-        KeyedRepeat::OtherRequest => {
-            let message = "this key belongs to another request; this one was not run";
-            CallRefusal::not_run(409, "key-reused", message)
-        }
-    };
-    (refusal_response(&refusal), Some(refusal))
-}
-
-fn kept_response(kept: KeptAnswer) -> Result<Response<ExchangeBody>, CallRefusal> {
-    let Some(body) = kept.body else {
-        let message = format!(
-            "the first call with this key was answered with status {}; its answer is too long to keep",
-            kept.status
-        );
-        return Err(CallRefusal::unknown(409, "key-answered", message));
-    };
-    let body = Full::new(body).map_err(|never| -> BodyError { match never {} });
-    let mut response = Response::new(body.boxed_unsync());
-    *response.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
-    let content_type = kept.content_type.as_deref().map(HeaderValue::from_str);
-    if let Some(Ok(content_type)) = content_type {
-        response.headers_mut().insert(CONTENT_TYPE, content_type);
-    }
-    Ok(response)
-}
--- a/src/call_proxy/attempt.rs
+++ b/src/call_proxy/attempt.rs
@@ -46,15 +46,6 @@
 /// A caller may set any short deadline; missing it must not pause a healthy target for other callers.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
-/// What all attempts of a call led to.
-#[derive(Debug)]
-pub enum AttemptOutcome {
-    /// The target's answer, with its body to come.
-    Answered(Response<ExchangeBody>),
-    /// No answer of a target.
-    Refused(CallRefusal),
-}
-
 /// What earlier attempts of the call have left.
 ///
 /// Invariant: `may_have_run` never becomes false again, so a later refusal cannot claim "not run".
@@ -68,16 +59,16 @@
 
 impl AttemptHistory {
     /// Returns the refusal for the caller, which must cover all attempts and not only the last one.
-    fn refuse(&self, refusal: CallRefusal) -> AttemptOutcome {
+    fn cover(&self, refusal: CallRefusal) -> CallRefusal {
         if refusal.outcome != CallOutcome::NotRun || !self.may_have_run {
-            return AttemptOutcome::Refused(refusal);
+            return refusal;
         }
-        AttemptOutcome::Refused(CallRefusal {
+        CallRefusal {
             status: 502,
             outcome: CallOutcome::Unknown,
             contract_line: None,
             ..refusal
-        })
+        }
     }
 
     /// Notes an attempt after which another one follows.
@@ -115,7 +106,7 @@
     head: &Parts,
     body: &ReplayBuffer<B>,
     progress: &mut CallProgress,
-) -> AttemptOutcome
+) -> Result<Response<ExchangeBody>, CallRefusal>
 where
     B: Body<Data = Bytes> + Unpin + Send + 'static,
     B::Error: Into<BodyError>,
@@ -127,7 +118,7 @@
         let choice = choose(context, call, draw, &history);
         let (Some(choice), Some(attempt_body)) = (choice, body.next_attempt()) else {
             let last = history.last.take();
-            return history.refuse(last.unwrap_or_else(|| no_target(call)));
+            return Err(history.cover(last.unwrap_or_else(|| no_target(call))));
         };
         history.attempts += 1;
         report_choice(context, call, &choice, &history, progress);
@@ -140,12 +131,12 @@
         let failed = match judge(attempt.run(attempt_body, progress).await) {
             Ok(answer) => {
                 body.stop_keeping();
-                return AttemptOutcome::Answered(answer);
+                return Ok(answer);
             }
             Err(failed) => failed,
         };
         if body.is_over_limit() {
-            return history.refuse(over_limit_midway(call, failed.fate));
+            return Err(history.cover(over_limit_midway(call, failed.fate)));
         }
         // A target that was reached over a closed connection has not been tried yet.
         if !failed.is_stale() {
@@ -154,8 +145,8 @@
         if !body.can_repeat() || !may_try_again(context, call, draw, &history, &failed) {
             body.stop_keeping();
             return match failed.answer {
-                Some(answer) => AttemptOutcome::Answered(answer),
-                None => history.refuse(failed.refusal),
+                Some(answer) => Ok(answer),
+                None => Err(history.cover(failed.refusal)),
             };
         }
         history.note(failed.fate, failed.refusal);
--- a/tests/call_faults.rs
+++ b/tests/call_faults.rs
@@ -293,6 +293,44 @@
     .await;
 }
 
+/// Guards against a refusal that is lost because its connection closes under the request's body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_body_may_still_be_sent() {
+    let plan = plan();
+    let node = start_node("n1", &plan, None).await;
+    link(&[&node], 1);
+    let mut stream = TcpStream::connect(node.call_address)
+        .await
+        .expect("connects");
+    let body = vec![b'z'; 500_000];
+    let head = format!(
+        "POST /nowhere HTTP/1.1\r\nhost: {HOST_NAME}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+
+    stream.write_all(head.as_bytes()).await.expect("sends");
+    let mut status = [0; 12];
+    stream
+        .read_exact(&mut status)
+        .await
+        .expect("the refusal comes");
+    stream.write_all(&body).await.expect("the node still reads");
+    let next = format!("GET /nowhere HTTP/1.1\r\nhost: {HOST_NAME}\r\nconnection: close\r\n\r\n");
+    stream
+        .write_all(next.as_bytes())
+        .await
+        .expect("the connection is kept");
+    let mut rest = Vec::new();
+    stream
+        .read_to_end(&mut rest)
+        .await
+        .expect("the node answers");
+
+    assert_eq!(&status, b"HTTP/1.1 404");
+    let rest = String::from_utf8_lossy(&rest);
+    assert!(rest.contains("HTTP/1.1 404"), "{rest}");
+}
+
 /// Guards against a refusal that claims "not run" after an earlier attempt may have run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_covers_all_attempts() {
