Test a target with fewer connections than slots

Cause: the cap of connections could be removed without a test that fails. Change: one target of the test announces 9 slots and 3 connections.

--- a/tests/call_path.rs
+++ b/tests/call_path.rs
@@ -144,9 +144,14 @@
         connections: 4,
         ..TargetScript::default()
     };
+    let scarce_connections = TargetScript {
+        slots: 9,
+        connections: 3,
+        ..script.clone()
+    };
     let targets = [
-        nodes[0].add_target("v1", script.clone()).await,
-        nodes[1].add_target("v1", script).await,
+        nodes[0].add_target("v1", script).await,
+        nodes[1].add_target("v1", scarce_connections).await,
     ];
     link(&[&nodes[0], &nodes[1]], 1);
 
@@ -155,10 +160,10 @@
         .await
         .expect("a valid plan");
 
-    for target in &targets {
+    for (target, connections) in targets.iter().zip([4, 3]) {
         let book = target.book();
         assert!(book.most_in_flight.load(Ordering::SeqCst) <= 3);
-        assert!(book.most_connections.load(Ordering::SeqCst) <= 4);
+        assert!(book.most_connections.load(Ordering::SeqCst) <= connections);
         assert_eq!(book.shed.load(Ordering::SeqCst), 0);
     }
     let both = [&targets[0], &targets[1]];
