--- a/experiments/src/simulated_net.rs
+++ b/experiments/src/simulated_net.rs
@@ -469,7 +469,8 @@
             let datagram = encode_packet(&outgoing.packet).expect("machines keep to the limit");
             self.longest_datagram = self.longest_datagram.max(datagram.len());
             self.nodes[from].bytes += datagram.len() as u64 + DATAGRAM_HEADER_BYTES;
-            if let Some(to) = index_of(outgoing.address) {
+            let to = index_of(outgoing.address);
+            if let Some(to) = to.filter(|to| *to < self.nodes.len()) {
                 self.transmit(from, to, datagram);
             }
         }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -12,7 +12,7 @@
 use {
     crate::{
         blackboard::Blackboard,
-        config_sync::{PullOutcome, pull_counted},
+        config_sync::{PullOutcome, ask_join, pull_counted},
         ids::Incarnation,
         membership::{MemberRecord, MemberState, TargetRecord},
         settings::NodeSettings,
@@ -24,7 +24,7 @@
     machine::{GossipMachine, GossipTables, MachineOutput, NewerVersion, OutgoingPacket},
     member_events::{full_event, state_of},
     parking_lot::Mutex,
-    rand::Rng,
+    rand::{Rng, seq::IteratorRandom},
     std::{
         net::SocketAddr,
         sync::{Arc, OnceLock},
@@ -41,6 +41,9 @@
 /// Longest random delay before a pull; spreads the pulls after a push.
 const PULL_JITTER: Duration = Duration::from_millis(50);
 
+/// Shortest time between two joins of a node that knows no live peer.
+const REJOIN_PAUSE: Duration = Duration::from_secs(5);
+
 /// Receive buffer in bytes; larger than any packet, so that a longer one is noticed and dropped.
 const RECEIVE_BUFFER_BYTES: usize = 2048;
 
@@ -70,6 +73,8 @@
 }
 
 /// Membership of one node; clones share it.
+///
+/// Its methods lock the blackboard, so a caller must hold no lock of it.
 #[derive(Clone, Debug)]
 pub struct GossipNode {
     shared: Arc<GossipShared>,
@@ -106,7 +111,10 @@
     pub async fn run(self, socket: UdpSocket, cancel: CancellationToken) {
         let socket = self.shared.socket.get_or_init(|| Arc::new(socket)).clone();
         let mut applied = self.shared.board.gate.subscribe();
+        // A version may have been put in force before the gossip started.
+        applied.mark_changed();
         let mut buffer = [0; RECEIVE_BUFFER_BYTES];
+        let mut rejoin_at = Instant::now();
         loop {
             let wakeup = self.shared.started + self.shared.machine.lock().next_wakeup();
             tokio::select! {
@@ -115,7 +123,10 @@
                     Ok((length, from)) => self.receive(&buffer[..length], from, &cancel),
                     Err(error) => debug!(%error, "receive a datagram"),
                 },
-                () = sleep_until(wakeup) => self.tick(),
+                () = sleep_until(wakeup) => {
+                    self.tick();
+                    self.rejoin_if_alone(&mut rejoin_at, &cancel);
+                }
                 Ok(()) = applied.changed() => {
                     let version = *applied.borrow_and_update();
                     self.act(|machine, _, tables| machine.set_version(version, tables));
@@ -215,6 +226,34 @@
         self.act(|machine, now, tables| machine.tick(now, tables));
     }
 
+    /// Asks a random seed for the members if no live peer is known, for example because all seeds were
+    /// down when this node joined.
+    fn rejoin_if_alone(&self, rejoin_at: &mut Instant, cancel: &CancellationToken) {
+        let now = Instant::now();
+        if now < *rejoin_at || !self.shared.machine.lock().is_alone() {
+            return;
+        }
+        *rejoin_at = now + REJOIN_PAUSE.mul_f64(1.0 + rand::random::<f64>());
+        let own = self.shared.settings.node.peer_address;
+        let seeds = self.shared.settings.gossip.seeds.iter();
+        let seed = seeds.filter(|seed| **seed != own).choose(&mut rand::rng());
+        if let Some(seed) = seed.copied() {
+            let node = self.clone();
+            let cancel = cancel.clone();
+            tokio::spawn(async move { cancel.run_until_cancelled(node.rejoin(seed)).await });
+        }
+    }
+
+    async fn rejoin(&self, seed: SocketAddr) {
+        match ask_join(seed, self).await {
+            Ok(answer) => {
+                let members = self.take_join_reply(&answer.reply);
+                info!(peer = %answer.node, members, "joined again");
+            }
+            Err(error) => info!(%error, "a seed did not answer the join"),
+        }
+    }
+
     fn receive(&self, datagram: &[u8], from: SocketAddr, cancel: &CancellationToken) {
         let counters = &self.shared.counters;
         counters.packets_in.add(1);
--- a/tests/gossip_network.rs
+++ b/tests/gossip_network.rs
@@ -182,6 +182,47 @@
     assert!(net.longest_datagram <= MAX_PACKET_BYTES);
 }
 
+/// Guards against the news of many deaths at once exceeding the control budget of 3 KB/s.
+#[test]
+fn many_deaths_stay_within_the_control_budget() {
+    let mut net = network(800);
+    let before = net.total_bytes();
+
+    (0..200).for_each(|index| net.stop(index));
+    net.run_rounds(30);
+
+    let rate = (net.total_bytes() - before) / (600 * 30);
+    assert!(rate < 3_000, "{rate} bytes per second and member");
+}
+
+/// Guards against the last two nodes of a fleet never noticing each other's death.
+#[test]
+fn a_node_that_is_left_alone_declares_the_other_dead() {
+    let mut net = network(2);
+
+    net.stop(1);
+    let rounds = net.rounds_until(40, |net| net.count_views(1, MemberState::Dead) == 1);
+
+    assert!(rounds.is_some());
+}
+
+/// Guards against one node that hears nobody disturbing the members that it accuses.
+#[test]
+fn a_deaf_node_accuses_nobody_at_first() {
+    let mut net = network(200);
+    net.nodes[5].side = 1;
+    net.cuts.insert((0, 1));
+
+    net.run_rounds(9);
+
+    let accused = net
+        .nodes
+        .iter()
+        .enumerate()
+        .filter(|(index, node)| *index != 5 && node.machine.own().incarnation > 1);
+    assert_eq!(accused.count(), 0);
+}
+
 /// Guards against a flapping node whose old lives outlast its newest.
 #[test]
 fn a_flapping_node_ends_in_its_last_state() {
