Let urgent events pass the queue; do not pass on a member list

Cause: a veto during the loss of 100 of 400 members was not at 298 of the 300 others after two rounds: each member sent it in one of its four pushes only, since it then ranked behind unsent news of deaths. A joining node queued the whole member list to be passed on; by computation 6,400 records take 15 minutes at 900 B/s. Change: a push carries the urgent events in every packet, outside the limit on passed-on events; a joining node passes on only its own record. A test holds all 16 places with peers that do not read and checks that the next pull is refused. Conclusion: vetoes and departures reach the fleet in a mass failure.

--- a/experiments/src/simulated_net.rs
+++ b/experiments/src/simulated_net.rs
@@ -315,7 +315,7 @@
             MachineOutput::default()
         });
         self.act(peer, |machine, now, tables| {
-            machine.merge_members(&[own], now, tables);
+            machine.admit_member(&own, now, tables);
             MachineOutput::default()
         });
         self.wake(index);
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -22,7 +22,7 @@
     },
     counters::GossipCounters,
     machine::{GossipMachine, GossipTables, MachineOutput, NewerVersion, OutgoingPacket},
-    member_events::{full_event, state_of},
+    member_events::{check_member, full_event},
     parking_lot::Mutex,
     rand::{Rng, seq::IteratorRandom},
     std::{
@@ -193,15 +193,12 @@
     /// Takes the record of a joining peer and returns what it should know.
     pub fn answer_join(&self, asker: Option<&MemberEvent>) -> JoinReply {
         let reply = self.join_reply(asker.map_or("", |event| &event.node));
-        let records: Vec<MemberEvent> = asker
-            .filter(|event| state_of(event).is_ok())
-            .cloned()
-            .into_iter()
-            .collect();
-        self.act(|machine, now, tables| {
-            machine.merge_members(&records, now, tables);
-            MachineOutput::default()
-        });
+        if let Some(event) = asker.filter(|event| check_member(event).is_ok()) {
+            self.act(|machine, now, tables| {
+                machine.admit_member(event, now, tables);
+                MachineOutput::default()
+            });
+        }
         reply
     }
 
--- a/src/gossip/machine.rs
+++ b/src/gossip/machine.rs
@@ -8,7 +8,7 @@
     self::merging::{is_target_news, next_news},
     super::{
         event_queue::EventQueue,
-        member_events::{member_event, spread_event, veto_event},
+        member_events::{full_event, member_event, spread_event, veto_event},
         peer_roster::{PeerContact, PeerRoster},
     },
     crate::{
@@ -198,8 +198,8 @@
         self.note_version(packet, from, tables, &mut output);
         let effect = self.take_events(&packet.events, now, tables);
         self.answer(packet, from, now, tables, &mut output);
-        if effect.is_urgent {
-            self.push_random(tables, &mut output);
+        if !effect.urgent.is_empty() {
+            self.push_random(&effect.urgent, tables, &mut output);
         }
         self.warn_suspects(&effect.suspects, tables, &mut output);
         output
@@ -219,7 +219,9 @@
     /// Tells random members of the version and the waiting events.
     pub fn push(&mut self, tables: &mut GossipTables<'_>) -> MachineOutput {
         let mut output = MachineOutput::default();
-        self.push_random(tables, &mut output);
+        let is_leaving = self.own.state == MemberState::Left;
+        let departure = is_leaving.then(|| member_event(spread_event(&self.own)));
+        self.push_random(departure.as_slice(), tables, &mut output);
         output
     }
 
@@ -241,7 +243,8 @@
         if is_news {
             self.own.sequence = next_news(self.own.sequence);
             self.publish_own(tables);
-            self.push_random(tables, &mut output);
+            let event = member_event(full_event(&self.own));
+            self.push_random(&[event], tables, &mut output);
         } else {
             self.own.sequence += 1;
             tables.members.merge(self.own.clone());
@@ -259,8 +262,9 @@
         truncate_text(&mut veto.reason, MAX_REASON_BYTES);
         let mut output = MachineOutput::default();
         if tables.vetoes.add(veto.clone()) {
-            self.enqueue(veto_event(&veto));
-            self.push_random(tables, &mut output);
+            let event = veto_event(&veto);
+            self.enqueue(event.clone());
+            self.push_random(&[event], tables, &mut output);
         }
         output
     }
@@ -273,18 +277,31 @@
         self.push(tables)
     }
 
-    /// Takes records that a peer sent at join; returns how many were new.
+    /// Takes the records that a peer sent at join; returns how many were new.
+    ///
+    /// They are not passed on: the fleet knows them, and 6,400 events would keep newer ones waiting for
+    /// a quarter of an hour.
     pub fn merge_members(
         &mut self,
         events: &[MemberEvent],
         now: Duration,
         tables: &mut GossipTables<'_>,
     ) -> usize {
-        let mut news = 0;
-        for event in events {
-            news += usize::from(self.take_member(event, now, tables).is_news);
-        }
-        news
+        let effects = events
+            .iter()
+            .map(|event| self.take_member(event, now, tables));
+        effects.filter(|effect| effect.is_news).count()
+    }
+
+    /// Takes the record of a peer that joins through this node, and passes it on.
+    pub fn admit_member(
+        &mut self,
+        event: &MemberEvent,
+        now: Duration,
+        tables: &mut GossipTables<'_>,
+    ) {
+        let effect = self.take_member(event, now, tables);
+        self.pass_on(&event.node, effect, tables);
     }
 
     /// Raises the own incarnation to at least `incarnation`.
--- a/src/gossip/machine/merging.rs
+++ b/src/gossip/machine/merging.rs
@@ -29,7 +29,7 @@
 /// What taking over the events of a packet changed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PacketEffect {
-    pub(super) is_urgent: bool,
+    pub(super) urgent: Vec<GossipEvent>,
     pub(super) suspects: Vec<Arc<str>>,
 }
 
@@ -46,13 +46,17 @@
             match &event.body {
                 Some(EventBody::Member(member)) => {
                     let effect = self.take_member(member, now, tables);
-                    total.is_urgent |= effect.is_urgent;
+                    self.pass_on(&member.node, effect, tables);
+                    total
+                        .urgent
+                        .extend(self.urgent_event(&member.node, effect, tables));
                     let suspect = effect.is_suspicion.then_some(&member.node);
                     let name = suspect.and_then(|node| tables.members.name_of(node));
                     total.suspects.extend(name);
                 }
                 Some(EventBody::Veto(veto)) => {
-                    total.is_urgent |= self.take_veto(veto, event, tables);
+                    let is_new = self.take_veto(veto, event, tables);
+                    total.urgent.extend(is_new.then(|| event.clone()));
                 }
                 None => {}
             }
@@ -60,6 +64,18 @@
         total
     }
 
+    /// Returns the event that must reach the other members at once: a departure, a target that takes no
+    /// more calls, or the refutation of a claim about this node.
+    fn urgent_event(
+        &self,
+        node: &str,
+        effect: MergeEffect,
+        tables: &GossipTables<'_>,
+    ) -> Option<GossipEvent> {
+        let record = tables.members.get(node).filter(|_| effect.is_urgent)?;
+        Some(member_event(spread_event(record)))
+    }
+
     pub(super) fn take_veto(
         &mut self,
         veto: &VetoEvent,
@@ -158,11 +174,14 @@
         if has_returned {
             self.returned_at = Some(now);
         }
-        let effect = effect_of(before.as_ref(), after);
-        if effect.is_news {
-            self.enqueue(member_event(spread_event(after)));
+        effect_of(before.as_ref(), after)
+    }
+
+    pub(super) fn pass_on(&mut self, node: &str, effect: MergeEffect, tables: &GossipTables<'_>) {
+        let record = tables.members.get(node).filter(|_| effect.is_news);
+        if let Some(record) = record {
+            self.enqueue(member_event(spread_event(record)));
         }
-        effect
     }
 
     pub(super) fn claim(
@@ -175,7 +194,8 @@
         if let Some(record) = tables.members.get(node) {
             let mut record = record.clone();
             record.state = state;
-            self.merge_record(record, now, tables);
+            let effect = self.merge_record(record, now, tables);
+            self.pass_on(node, effect, tables);
         }
     }
 
--- a/src/gossip/machine/packets.rs
+++ b/src/gossip/machine/packets.rs
@@ -60,9 +60,8 @@
             }
         }
         let limit = transmit_limit(tables.members.len());
-        let passed_on = self
-            .queue
-            .take(budget.min(self.event_allowance as usize), limit);
+        let budget = budget.min(self.event_allowance as usize);
+        let passed_on = self.queue.take(budget, limit);
         let bytes: usize = passed_on.iter().map(event_bytes).sum();
         self.event_allowance -= bytes as f64;
         packet.events.extend(passed_on);
@@ -76,9 +75,16 @@
         self.allowance_at = now;
     }
 
-    pub(super) fn push_random(&mut self, tables: &GossipTables<'_>, output: &mut MachineOutput) {
+    /// Sends a push with these events to random members. Events that only wait in the queue may be behind
+    /// the news of many deaths, so what must not wait is given here.
+    pub(super) fn push_random(
+        &mut self,
+        urgent: &[GossipEvent],
+        tables: &GossipTables<'_>,
+        output: &mut MachineOutput,
+    ) {
         for peer in self.choose_push_targets(tables) {
-            let packet = self.packet(GossipKind::Push(Push {}), 0, Vec::new(), tables);
+            let packet = self.packet(GossipKind::Push(Push {}), 0, urgent.to_vec(), tables);
             output.packets.push(OutgoingPacket {
                 address: peer.address,
                 packet,
--- a/tests/gossip_network.rs
+++ b/tests/gossip_network.rs
@@ -346,6 +346,40 @@
     assert!(vetoed.count() >= 298);
 }
 
+/// Guards against a veto waiting behind the news of many deaths.
+#[test]
+fn a_veto_overtakes_the_news_of_many_deaths() {
+    let mut net = network(400);
+    (0..100).for_each(|index| net.stop(index));
+    net.run_rounds(15);
+    let veto = VetoRecord {
+        key: target(false, 0).key,
+        move_id: 8,
+        issuer: name_of(200),
+        reason: "failures".to_owned(),
+    };
+
+    net.act(200, |machine, _, tables| machine.spread_veto(veto, tables));
+    net.run_rounds(2);
+
+    let split = running_split(8);
+    let live = net.nodes.iter().filter(|node| node.is_up);
+    let vetoed = live.filter(|node| node.vetoes.against(&split).is_some());
+    assert!(vetoed.count() >= 298);
+}
+
+/// Guards against a joining node passing on the whole member list, which would hold up newer events.
+#[test]
+fn a_joining_node_passes_on_only_its_own_record() {
+    let mut net = network(200);
+    net.run_rounds(60);
+
+    net.stop(9);
+    net.restart(9, 3);
+
+    assert_eq!(net.nodes[9].machine.queue_len(), 1);
+}
+
 /// Guards against a record of an earlier life prevailing over a node that restarted with too low an
 /// incarnation because the peer it joined through had forgotten it.
 #[test]
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -20,6 +20,9 @@
 /// Longest time to wait for a condition; a verdict never depends on it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Size of one name in a large configuration; the name occurs twice.
+const LARGE_BYTES: usize = 3 << 20;
+
 /// A node that serves peers on loopback.
 pub struct TestNode {
     pub settings: Arc<NodeSettings>,
@@ -78,6 +81,22 @@
             .offer(snapshot(version), &ConfigSource::Store);
         offered.expect("the version is newer");
     }
+
+    /// Puts a version in force that is larger than the buffers of a connection.
+    pub fn apply_large(&self, version: u64) {
+        let resource = ConfigResource::Customer(CustomerSpec {
+            customer: "x".repeat(LARGE_BYTES),
+            limits: CallLimits::default(),
+        });
+        let mut large = snapshot(version);
+        let entry = VersionedResource {
+            changed_at: version,
+            resource,
+        };
+        large.resources.insert(entry.resource.name(), entry);
+        let offered = self.board.gate.offer(large, &ConfigSource::Store);
+        offered.expect("the version is newer");
+    }
 }
 
 impl Drop for TestNode {
--- a/tests/sync_exchange.rs
+++ b/tests/sync_exchange.rs
@@ -201,6 +201,38 @@
     assert!(boards.iter().all(|board| board.gate.version() == 20));
 }
 
+/// Guards against more pulls being served at once than the bound: peers that do not read hold all
+/// places, and the next pull must be told to come back.
+#[tokio::test]
+async fn the_seventeenth_pull_at_once_is_refused() {
+    let server = TestNode::start_at("server", &[], 20).await;
+    server.apply_large(21);
+    let mut silent = Vec::new();
+    for _ in 0..MAX_PULLS {
+        let stream = TcpStream::connect(server.address).await.expect("loopback");
+        let mut frames = FrameStream::new(stream, server.address, Duration::from_secs(30));
+        frames.greet("silent").await.expect("greeted");
+        frames
+            .send(SyncBody::ConfigPull(ConfigPull { have_version: 0 }))
+            .await
+            .expect("open");
+        silent.push(frames);
+    }
+
+    let busy = || server.gossip.counters().requests_busy.get();
+    while busy() == 0 {
+        let board = open_board();
+        let pulled = pull_config(server.address, &name(), &board).await;
+        assert!(pulled.is_ok());
+    }
+    drop(silent);
+    let board = open_board();
+    while board.gate.version() < 21 {
+        let pulled = pull_config(server.address, &name(), &board).await;
+        assert!(pulled.is_ok());
+    }
+}
+
 /// Guards against a bad connection harming the others: the server closes only that one.
 #[tokio::test]
 async fn a_bad_frame_ends_only_its_connection() {
