--- a/tests/gossip_network.rs
+++ b/tests/gossip_network.rs
@@ -182,6 +182,47 @@
     assert!(net.longest_datagram <= MAX_PACKET_BYTES);
 }
 
+/// Guards against the news of many deaths at once exceeding the control budget of 3 KB/s.
+#[test]
+fn many_deaths_stay_within_the_control_budget() {
+    let mut net = network(800);
+    let before = net.total_bytes();
+
+    (0..200).for_each(|index| net.stop(index));
+    net.run_rounds(30);
+
+    let rate = (net.total_bytes() - before) / (600 * 30);
+    assert!(rate < 3_000, "{rate} bytes per second and member");
+}
+
+/// Guards against the last two nodes of a fleet never noticing each other's death.
+#[test]
+fn a_node_that_is_left_alone_declares_the_other_dead() {
+    let mut net = network(2);
+
+    net.stop(1);
+    let rounds = net.rounds_until(40, |net| net.count_views(1, MemberState::Dead) == 1);
+
+    assert!(rounds.is_some());
+}
+
+/// Guards against one node that hears nobody disturbing the members that it accuses.
+#[test]
+fn a_deaf_node_accuses_nobody_at_first() {
+    let mut net = network(200);
+    net.nodes[5].side = 1;
+    net.cuts.insert((0, 1));
+
+    net.run_rounds(9);
+
+    let accused = net
+        .nodes
+        .iter()
+        .enumerate()
+        .filter(|(index, node)| *index != 5 && node.machine.own().incarnation > 1);
+    assert_eq!(accused.count(), 0);
+}
+
 /// Guards against a flapping node whose old lives outlast its newest.
 #[test]
 fn a_flapping_node_ends_in_its_last_state() {
@@ -305,6 +346,40 @@
     assert!(vetoed.count() >= 298);
 }
 
+/// Guards against a veto waiting behind the news of many deaths.
+#[test]
+fn a_veto_overtakes_the_news_of_many_deaths() {
+    let mut net = network(400);
+    (0..100).for_each(|index| net.stop(index));
+    net.run_rounds(15);
+    let veto = VetoRecord {
+        key: target(false, 0).key,
+        move_id: 8,
+        issuer: name_of(200),
+        reason: "failures".to_owned(),
+    };
+
+    net.act(200, |machine, _, tables| machine.spread_veto(veto, tables));
+    net.run_rounds(2);
+
+    let split = running_split(8);
+    let live = net.nodes.iter().filter(|node| node.is_up);
+    let vetoed = live.filter(|node| node.vetoes.against(&split).is_some());
+    assert!(vetoed.count() >= 298);
+}
+
+/// Guards against a joining node passing on the whole member list, which would hold up newer events.
+#[test]
+fn a_joining_node_passes_on_only_its_own_record() {
+    let mut net = network(200);
+    net.run_rounds(60);
+
+    net.stop(9);
+    net.restart(9, 3);
+
+    assert_eq!(net.nodes[9].machine.queue_len(), 1);
+}
+
 /// Guards against a record of an earlier life prevailing over a node that restarted with too low an
 /// incarnation because the peer it joined through had forgotten it.
 #[test]
