Count the limit of the overall gain by elapsed ticks and lengthen thin intervals

Cause: the limit on the overall statistic used the longest interval that ended, so routes whose intervals ended in turn together gained more than the limit per tick. Rare routes compared each candidate call with about 5 stable calls only.

Change: the overall limit counts ticks since the last intervals ended. An interval ends at 12 stable calls or 8 ticks instead of 5 and 5. Limits are 0.4 nats (safety) and 0.25 nats (punctuality).

--- a/experiments/src/moves/rivals.rs
+++ b/experiments/src/moves/rivals.rs
@@ -99,11 +99,13 @@
             policy.failure_clip = f64::INFINITY;
             policy.slow_clip = f64::INFINITY;
         }),
-        variant("slow_clip_0.4", &|policy| policy.slow_clip = 0.4),
-        variant("slow_clip_0.3", &|policy| policy.slow_clip = 0.3),
         variant("slow_clip_0.2", &|policy| policy.slow_clip = 0.2),
-        variant("slow_clip_0.15", &|policy| policy.slow_clip = 0.15),
-        variant("accept_0.02", &|policy| policy.accept_error = 0.02),
+        variant("slow_clip_0.6", &|policy| policy.slow_clip = 0.6),
+        variant("quantile_95_only", &|policy| {
+            policy.slow_quantiles = vec![0.95];
+        }),
+        variant("without_warm_up", &|policy| policy.warm_calls = 0),
+        variant("margin_2", &|policy| policy.margin_odds = 2.0),
     ]
 }
 
--- a/src/move_verdict.rs
+++ b/src/move_verdict.rs
@@ -49,8 +49,8 @@
     /// Returns the parameters for a preference.
     pub fn for_preference(prefer: MovePreference) -> Self {
         let slow_clip = match prefer {
-            MovePreference::Safety => 0.3,
-            MovePreference::Punctuality => 0.2,
+            MovePreference::Safety => 0.4,
+            MovePreference::Punctuality => 0.25,
         };
         Self {
             slow_clip,
@@ -66,7 +66,7 @@
             accept_error: 0.05,
             margin_odds: 3.0,
             failure_clip: 6.0,
-            slow_clip: 0.3,
+            slow_clip: 0.4,
             warm_calls: 16,
             warm_time: Duration::from_secs(60),
             slow_quantiles: vec![0.5, 0.8, 0.95],
@@ -176,6 +176,7 @@
     stable: VersionName,
     routes: BTreeMap<RouteName, RouteTest>,
     overall: TestPair,
+    overall_ticks: u32,
     latency: TargetLatency,
     best_support: f64,
     suspicious: bool,
@@ -208,9 +209,9 @@
         }
     }
 
-    fn advance(&mut self, tables: &[StratumTables], policy: &VerdictPolicy) {
+    /// Adds strata that ended together, this many ticks after the last ones.
+    fn advance(&mut self, tables: &[StratumTables], ticks: u32, policy: &VerdictPolicy) {
         let failures: Vec<OutcomeTable> = tables.iter().map(|tables| tables.failures).collect();
-        let ticks = tables.iter().map(|tables| tables.ticks).max().unwrap_or(1);
         let targets = tables
             .iter()
             .map(|tables| tables.candidate_targets)
@@ -257,6 +258,7 @@
             stable: stable.to_owned(),
             routes: BTreeMap::new(),
             overall: TestPair::new(policy.slow_quantiles.len()),
+            overall_ticks: 0,
             latency: TargetLatency::default(),
             best_support: 0.0,
             suspicious: false,
@@ -355,14 +357,18 @@
             }
             route.reference.absorb(&route.stratum);
             route.stratum = RouteStratum::default();
+            let ticks = tables.ticks;
             route
                 .tests
-                .advance(std::slice::from_ref(&tables), &self.policy);
-            route.accept.advance(tables.bad, tables.ticks);
+                .advance(std::slice::from_ref(&tables), ticks, &self.policy);
+            route.accept.advance(tables.bad, ticks);
             closed.push(tables);
         }
+        self.overall_ticks += 1;
         if !closed.is_empty() {
-            self.overall.advance(&closed, &self.policy);
+            self.overall
+                .advance(&closed, self.overall_ticks, &self.policy);
+            self.overall_ticks = 0;
         }
     }
 
--- a/src/move_verdict/route_stratum.rs
+++ b/src/move_verdict/route_stratum.rs
@@ -7,10 +7,10 @@
 };
 
 /// Stable calls from which an interval is not extended further.
-const ENOUGH_STABLE_CALLS: u64 = 5;
+const ENOUGH_STABLE_CALLS: u64 = 12;
 
 /// Ticks after which an interval ends unless it has calls of the candidate alone.
-const LONG_TICKS: u32 = 5;
+const LONG_TICKS: u32 = 8;
 
 /// Ticks after which an interval ends in any case; older calls are not of the same moments.
 const MAX_TICKS: u32 = 15;
--- a/tests/move_verdict.rs
+++ b/tests/move_verdict.rs
@@ -143,6 +143,48 @@
     assert!(!suspicious);
 }
 
+fn on_target(mut difference: CounterDifference, target: u32) -> CounterDifference {
+    difference.node = format!("{}-{target}", difference.version);
+    difference
+}
+
+/// Guards against a noisy neighbour of one target that condemns a version which is fast on the others.
+#[test]
+fn single_slow_target_among_several_is_left_out() {
+    let run = |slow_targets: u32| {
+        let mut test = verdict_test();
+        add_healthy_stable(&mut test, 5);
+        for _ in 0..120 {
+            let mut tick = vec![difference("v1", "jobs", 20, 0, 1)];
+            for target in 0..4 {
+                let slow = if target < slow_targets { 5 } else { 0 };
+                tick.push(on_target(difference("v2", "jobs", 5, 0, slow), target));
+            }
+            test.add(&tick);
+        }
+        matches!(test.verdict(), MoveVerdict::Bad(_))
+    };
+
+    assert!(!run(1));
+    assert!(run(4));
+}
+
+/// Guards against a short disturbance of the only target that condemns a version.
+#[test]
+fn ten_slow_seconds_do_not_condemn() {
+    let mut test = verdict_test();
+    add_healthy_stable(&mut test, 5);
+
+    for _ in 0..10 {
+        test.add(&[
+            difference("v1", "jobs", 200, 0, 10),
+            difference("v2", "jobs", 50, 0, 50),
+        ]);
+    }
+
+    assert!(!matches!(test.verdict(), MoveVerdict::Bad(_)));
+}
+
 /// Guards against a fault on one rare route that drowns in the calls of the others.
 #[test]
 fn failure_on_one_route_is_condemned_on_that_route() {
