Check histories of unkeyed calls under failures

The checkers are plain functions over the records of callers and the runs that stand-in targets recorded; four situations use them: targets that break connections at every step, killed and frozen nodes, missed deadlines, a store that is down.

--- /dev/null
+++ b/tests/fleet_calls.rs
@@ -0,0 +1,148 @@
+//! Calls without idempotency keys in a fleet of real node processes under failures.
+
+#[path = "support/call_history.rs"]
+mod call_history;
+#[path = "support/fleet_fixture.rs"]
+mod fleet_fixture;
+#[path = "support/fleet_targets.rs"]
+mod fleet_targets;
+
+use {
+    call_history::{assert_once_only, assert_truthful, count_successes},
+    fleet_fixture::TestFleet,
+    fleet_targets::{
+        CALL_CONTRACT, PlacedTarget, all_runs, breaking_script, call_plan, place_target,
+        spawn_plan, wait_idle, wait_runs, wait_targets,
+    },
+    poplarwing_standins::{
+        platform::FaultPlan,
+        target::script::{FailureKind, FailureRule, TargetScript},
+    },
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Time for which a node is frozen; longer than any pause of a busy machine.
+const FREEZE: Duration = Duration::from_millis(1500);
+
+async fn fleet_with_targets(
+    script: impl Fn(u64) -> TargetScript,
+) -> (TestFleet, Vec<PlacedTarget>) {
+    let fleet = TestFleet::start(5).await;
+    let version = fleet.apply_contract(0, CALL_CONTRACT, 0).await;
+    fleet.wait_in_force(version).await;
+    let mut targets = Vec::new();
+    for (seed, node) in (1..).zip(2..5) {
+        targets.push(place_target(&fleet, node, "v1", script(seed)).await);
+    }
+    wait_targets(&fleet, targets.len()).await;
+    (fleet, targets)
+}
+
+/// Guards against a call that is sent to a second target after the first may have run it, and against
+/// refusals "not run" of calls that ran, when targets break connections at every step.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_not_repeated_when_targets_break_connections_at_every_step() {
+    let (fleet, targets) = fleet_with_targets(|seed| breaking_script(40, seed)).await;
+
+    let orders = spawn_plan(call_plan(&fleet, "POST", "/order", 300.0, 1200));
+    let reads = spawn_plan(call_plan(&fleet, "GET", "/read", 300.0, 1200));
+    let (orders, reads) = (orders.await.unwrap(), reads.await.unwrap());
+    wait_idle(&targets).await;
+
+    let runs = all_runs(&targets);
+    let (order_runs, read_runs): (Vec<_>, Vec<_>) =
+        runs.into_iter().partition(|run| run.path == "/order");
+    assert_once_only(&orders, &order_runs);
+    assert_truthful(&reads, &read_runs);
+    assert!(
+        count_successes(&orders) > 600,
+        "{}",
+        count_successes(&orders)
+    );
+    assert!(count_successes(&reads) > 600, "{}", count_successes(&reads));
+}
+
+/// Guards against repeated or crossed calls when an entry node and a target's node are killed and another
+/// target's node is frozen while calls are in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_not_repeated_when_nodes_are_killed_and_frozen() {
+    let script = |seed| TargetScript {
+        latency_ms: 20,
+        seed,
+        ..TargetScript::default()
+    };
+    let (mut fleet, targets) = fleet_with_targets(script).await;
+
+    let orders = spawn_plan(call_plan(&fleet, "POST", "/order", 300.0, 1800));
+    wait_runs(&targets, 200).await;
+    fleet.nodes.kill(0).expect("the entry node runs");
+    wait_runs(&targets, 400).await;
+    fleet.nodes.kill(2).expect("the target's node runs");
+    fleet.nodes.start(0).expect("the entry node starts again");
+    wait_runs(&targets, 600).await;
+    fleet.nodes.pause(3).expect("the target's node runs");
+    sleep(FREEZE).await;
+    fleet.nodes.resume(3).expect("the target's node is frozen");
+    fleet
+        .nodes
+        .start(2)
+        .expect("the target's node starts again");
+    let orders = orders.await.unwrap();
+    wait_idle(&targets).await;
+
+    assert_once_only(&orders, &all_runs(&targets));
+    assert!(
+        count_successes(&orders) > 900,
+        "{}",
+        count_successes(&orders)
+    );
+}
+
+/// Guards against a late answer that reaches another call, when calls miss their deadlines while the
+/// target still works on them.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answers_reach_no_other_call() {
+    let script = |seed| TargetScript {
+        latency_ms: 5,
+        latency_per_call_ms: 2,
+        failures: vec![FailureRule {
+            permille: 50,
+            ..FailureRule::always(FailureKind::Hang)
+        }],
+        seed,
+        ..TargetScript::default()
+    };
+    let (fleet, targets) = fleet_with_targets(script).await;
+
+    let mut plan = call_plan(&fleet, "POST", "/order", 400.0, 1200);
+    plan.timeout_ms = Some(40);
+    let orders = spawn_plan(plan).await.unwrap();
+    wait_idle(&targets).await;
+
+    assert_once_only(&orders, &all_runs(&targets));
+    let missed = orders.iter().filter(|order| order.status == Some(504));
+    assert!(missed.count() > 20, "calls miss their deadlines");
+    assert!(
+        count_successes(&orders) > 300,
+        "{}",
+        count_successes(&orders)
+    );
+}
+
+/// Guards against calls that need the store although they carry no key.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_without_keys_need_no_store() {
+    let (fleet, targets) = fleet_with_targets(|_| TargetScript::default()).await;
+    fleet.platform.set_faults(FaultPlan {
+        down: true,
+        ..FaultPlan::default()
+    });
+
+    let orders = spawn_plan(call_plan(&fleet, "POST", "/order", 300.0, 600));
+    let orders = orders.await.unwrap();
+    wait_idle(&targets).await;
+
+    assert_once_only(&orders, &all_runs(&targets));
+    assert_eq!(count_successes(&orders), orders.len());
+}
