--- a/tests/move_controller.rs
+++ b/tests/move_controller.rs
@@ -80,6 +80,7 @@
     });
     ConfigSnapshot {
         version,
+        accepted_at_ms: 0,
         resources: entries.collect(),
     }
 }
