--- /dev/null
+++ b/tests/docs_names.rs
@@ -0,0 +1,53 @@
+//! Names in the documentation that must exist.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+/// Page that names the tests behind each guarantee.
+const GUARANTEES: &str = "docs/GUARANTEES.md";
+
+fn read(path: impl AsRef<Path>) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(path);
+    fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+}
+
+/// Returns the names of the test functions of one test file.
+fn tests_of(file: &str) -> BTreeSet<String> {
+    let text = read(Path::new("tests").join(format!("{file}.rs")));
+    let mut names = BTreeSet::new();
+    let mut is_test = false;
+    for line in text.lines().map(str::trim) {
+        if line.starts_with("#[test]") || line.starts_with("#[tokio::test") {
+            is_test = true;
+        } else if let Some(rest) = line.split("fn ").nth(1).filter(|_| is_test) {
+            names.insert(rest.split('(').next().unwrap_or_default().to_owned());
+            is_test = false;
+        }
+    }
+    names
+}
+
+/// Returns the references of the form `file::test` in a text; paths of types begin with a capital letter.
+fn references(text: &str) -> Vec<(String, String)> {
+    text.split('`')
+        .skip(1)
+        .step_by(2)
+        .filter(|code| code.starts_with(char::is_lowercase))
+        .filter_map(|code| code.split_once("::"))
+        .map(|(file, test)| (file.to_owned(), test.to_owned()))
+        .collect()
+}
+
+/// Guards against a guarantee that names a test which was renamed or never existed.
+#[test]
+fn every_test_that_a_guarantee_names_exists() {
+    let page = read(GUARANTEES);
+
+    let missing: Vec<String> = references(&page)
+        .into_iter()
+        .filter(|(file, test)| !tests_of(file).contains(test))
+        .map(|(file, test)| format!("{file}::{test}"))
+        .collect();
+
+    assert!(references(&page).len() > 20, "the page names its tests");
+    assert!(missing.is_empty(), "tests that do not exist: {missing:?}");
+}
