Lower the share at once when failures rise after the takeover

Change: an alarm on the candidate's own failure rate, or a suspicion, lowers the share in the watch to that of the last ramp step, where the comparison has as many stable as candidate calls. The alarm never condemns. The expected share in the two tests of a suspicious watch changes from 50 to 500 per mille with it. The window baseline now keeps its last stable window and accepts with 30 calls, the fixed steps observe the stable version for 20 s first; both had no chance before.

--- a/experiments/src/moves.rs
+++ b/experiments/src/moves.rs
@@ -22,10 +22,10 @@
 };
 
 /// Seeds used while the parameters were chosen.
-const TUNING_SEEDS: RangeInclusive<u64> = 1..=40;
+const TUNING_SEEDS: RangeInclusive<u64> = 1..=100;
 
 /// Seeds kept apart from the choice; reported figures come from these only.
-const REPORT_SEEDS: RangeInclusive<u64> = 1001..=1100;
+const REPORT_SEEDS: RangeInclusive<u64> = 2001..=2100;
 
 /// Start of every run in milliseconds since the Unix epoch.
 const START_MS: u64 = 1_800_000_000_000;
--- a/experiments/src/moves/rivals.rs
+++ b/experiments/src/moves/rivals.rs
@@ -27,7 +27,10 @@
 const WINDOW_EXCESS: f64 = 0.15;
 
 /// Candidate calls without excess after which a fixed window accepts.
-const WINDOW_ACCEPT_CALLS: u64 = 60;
+const WINDOW_ACCEPT_CALLS: u64 = 30;
+
+/// Time for which the fixed steps observe the stable version before the first step, in milliseconds.
+const BASELINE_MS: u64 = 20_000;
 
 /// Odds ratio of the plain sequential test.
 const SPRT_ODDS: f64 = 3.0;
@@ -118,7 +121,7 @@
                 "v1",
                 self.policy.clone(),
             ))),
-            TestKind::Window => VersionTest::Window(WindowTest::default()),
+            TestKind::Window => VersionTest::Window(Box::default()),
             TestKind::Sprt => VersionTest::Sprt(PlainSprt::default()),
         }
     }
@@ -129,7 +132,7 @@
     /// The project's test.
     Conditional(Box<VerdictTest>),
     /// A fixed window with a threshold.
-    Window(WindowTest),
+    Window(Box<WindowTest>),
     /// Wald's sequential probability ratio test on all calls, against the stable share of bad calls.
     Sprt(PlainSprt),
 }
@@ -243,23 +246,33 @@
 }
 
 /// Share of bad calls over a fixed window, compared with a threshold at every tick.
+///
+/// Without enough stable calls in the window the last window with enough of them serves as baseline.
 #[derive(Default)]
 pub struct WindowTest {
     window: TickWindow,
+    baseline: Option<TickCalls>,
     condemned: bool,
 }
 
 impl WindowTest {
     fn add(&mut self, differences: &[CounterDifference]) {
         self.window.push(TickCalls::new(differences));
+        let sum = self.window.sum();
+        if sum.calls[0] >= WINDOW_CALLS {
+            self.baseline = Some(sum);
+        }
         let (candidate, excess) = self.excess();
         self.condemned |= candidate.calls >= WINDOW_CALLS && excess > WINDOW_EXCESS;
     }
 
     fn excess(&self) -> (BadCount, f64) {
-        let sum = self.window.sum();
-        let first_slow = sum.first_above(0.95);
-        let (stable, candidate) = (sum.bad(0, first_slow), sum.bad(1, first_slow));
+        let Some(baseline) = &self.baseline else {
+            return (BadCount::default(), 0.0);
+        };
+        let first_slow = baseline.first_above(0.95);
+        let stable = baseline.bad(0, first_slow);
+        let candidate = self.window.sum().bad(1, first_slow);
         let share = |count: BadCount| count.bad as f64 / count.calls.max(1) as f64;
         (candidate, share(candidate) - share(stable))
     }
@@ -276,6 +289,7 @@
         MoveVerdict::Undecided {
             evidence,
             suspicious: false,
+            alarmed: false,
         }
     }
 }
@@ -321,6 +335,7 @@
             (false, false) => MoveVerdict::Undecided {
                 evidence,
                 suspicious: false,
+                alarmed: false,
             },
         }
     }
@@ -359,13 +374,14 @@
             return taken_back(verdict);
         };
         let total_ms = current.finish_by_ms - current.started_at_ms;
-        let length_ms = total_ms / self.permilles.len() as u64;
+        let length_ms = (total_ms - 2 * BASELINE_MS) / self.permilles.len() as u64;
         let reached = self
             .permilles
             .iter()
             .position(|permille| *permille == split.candidate_permille);
         let is_first = current.phase == MovePhase::Waiting;
-        if !is_first && now_ms < progress.since_ms + length_ms {
+        let length_ms = if is_first { BASELINE_MS } else { length_ms };
+        if now_ms < progress.since_ms + length_ms {
             return MoveStep::Hold(
                 poplarwing::move_controller::plan::HoldReason::AwaitsEvidence(evidence),
             );
--- a/src/move_controller/plan.rs
+++ b/src/move_controller/plan.rs
@@ -178,8 +178,8 @@
         /// Share now allowed.
         permille: u32,
     },
-    /// Something speaks against the candidate; it gets the canary share until this is settled.
-    #[display("suspicion, back to the canary share: {_0}")]
+    /// Something speaks against the candidate; it gets a smaller share until this is settled.
+    #[display("suspicion, back to a smaller share: {_0}")]
     Suspicion(VerdictEvidence),
     /// The cause of a lower share during the watch has passed.
     #[display("cause of the lower share has passed: {_0}")]
@@ -335,6 +335,7 @@
             MoveVerdict::Undecided {
                 evidence,
                 suspicious,
+                ..
             } => self.plan_undecided(next, &times, evidence, *suspicious),
             MoveVerdict::Bad(evidence) => {
                 veto_and_take_back(StepReason::FoundBad(evidence.clone()))
@@ -400,17 +401,18 @@
         let until_ms = self.state.progress.since_ms + watch_ms;
         let is_over = self.now_ms >= until_ms;
         let is_late = self.now_ms >= until_ms + watch_ms;
-        let (evidence, suspicious) = match self.verdict {
-            MoveVerdict::Good(evidence) | MoveVerdict::Bad(evidence) => (evidence, false),
+        let (evidence, suspicious, alarmed) = match self.verdict {
+            MoveVerdict::Good(evidence) | MoveVerdict::Bad(evidence) => (evidence, false, false),
             MoveVerdict::Undecided {
                 evidence,
                 suspicious,
-            } => (evidence, *suspicious),
+                alarmed,
+            } => (evidence, *suspicious, *alarmed),
         };
         if suspicious && is_late {
             return veto_and_take_back(StepReason::EvidenceAgainst(evidence.clone()));
         }
-        if suspicious {
+        if suspicious || alarmed {
             return MoveStep::Hold(HoldReason::AwaitsEvidence(evidence.clone()));
         }
         if self.state.split.candidate_permille < TAKEOVER_PERMILLE {
@@ -443,24 +445,26 @@
         })
     }
 
-    /// A suspicion during the watch lowers the share at once, so that the test can take the time it needs to
-    /// tell a bad version from a short disturbance. The ramp does not do so: a fault under load would
-    /// vanish with the load and return with it.
+    /// A suspicion or alarm during the watch lowers the share at once to that of the last ramp step. With as
+    /// many stable as candidate calls the test then decides soonest. The ramp does not do so: a fault under
+    /// load would vanish with the load and return with it.
     fn plan_retreat(&self) -> Option<MoveStep> {
-        let canary = self.steps()[0].permille;
         let MoveVerdict::Undecided {
             evidence,
-            suspicious: true,
+            suspicious,
+            alarmed,
         } = self.verdict
         else {
             return None;
         };
-        if self.state.split.candidate_permille <= canary {
+        let steps = self.steps();
+        let permille = steps[steps.len() - 2].permille;
+        if !(*suspicious || *alarmed) || self.state.split.candidate_permille <= permille {
             return None;
         }
         let step = ShareStep {
             phase: self.current.phase,
-            permille: canary,
+            permille,
         };
         Some(change(step, StepReason::Suspicion(evidence.clone())))
     }
--- a/src/move_verdict.rs
+++ b/src/move_verdict.rs
@@ -3,6 +3,7 @@
 //! All functions are pure; the caller supplies counter readings once per tick.
 
 pub mod counter_history;
+pub mod failure_alarm;
 pub mod odds_test;
 pub mod route_stratum;
 pub mod target_latency;
@@ -14,6 +15,7 @@
     },
     counter_history::CounterDifference,
     derive_more::Display,
+    failure_alarm::FailureAlarm,
     odds_test::{AcceptTest, ChangeTest, OutcomeTable},
     route_stratum::{RouteStratum, StableReference},
     serde::{Deserialize, Serialize},
@@ -50,7 +52,7 @@
     pub fn for_preference(prefer: MovePreference) -> Self {
         let slow_clip = match prefer {
             MovePreference::Safety => 0.4,
-            MovePreference::Punctuality => 0.25,
+            MovePreference::Punctuality => 0.2,
         };
         Self {
             slow_clip,
@@ -162,6 +164,8 @@
         evidence: VerdictEvidence,
         /// Whether the evidence against the candidate is too strong to go on without more.
         suspicious: bool,
+        /// Whether the candidate's failures rise, for a cause that may concern both versions.
+        alarmed: bool,
     },
 }
 
@@ -178,6 +182,7 @@
     overall: TestPair,
     overall_ticks: u32,
     latency: TargetLatency,
+    alarm: FailureAlarm,
     best_support: f64,
     suspicious: bool,
     condemned: Option<VerdictEvidence>,
@@ -260,6 +265,7 @@
             overall: TestPair::new(policy.slow_quantiles.len()),
             overall_ticks: 0,
             latency: TargetLatency::default(),
+            alarm: FailureAlarm::default(),
             best_support: 0.0,
             suspicious: false,
             condemned: None,
@@ -280,6 +286,7 @@
                 self.add_difference(difference, is_candidate);
             }
         }
+        self.add_to_alarm(differences);
         self.close_strata();
         self.judge();
     }
@@ -300,7 +307,8 @@
         }
         let against = self.strongest_against();
         let support = self.support();
-        if !self.suspicious && support.statistic >= support.threshold && self.routes_covered() {
+        let doubted = self.suspicious || self.alarm.is_raised();
+        if !doubted && support.statistic >= support.threshold && self.routes_covered() {
             return MoveVerdict::Good(support);
         }
         let evidence = if self.suspicious || against.statistic > 0.0 {
@@ -311,9 +319,20 @@
         MoveVerdict::Undecided {
             evidence,
             suspicious: self.suspicious,
+            alarmed: self.alarm.is_raised(),
         }
     }
 
+    fn add_to_alarm(&mut self, differences: &[CounterDifference]) {
+        let candidate = differences
+            .iter()
+            .filter(|difference| difference.version == self.candidate);
+        let (calls, failures) = candidate.fold((0, 0), |(calls, failures), difference| {
+            (calls + difference.calls, failures + difference.failures)
+        });
+        self.alarm.add(calls, failures);
+    }
+
     fn add_difference(&mut self, difference: &CounterDifference, is_candidate: bool) {
         let quantiles = self.policy.slow_quantiles.len();
         let margin = self.policy.margin_odds;
--- a/tests/move_planner.rs
+++ b/tests/move_planner.rs
@@ -48,6 +48,7 @@
     MoveVerdict::Undecided {
         evidence: evidence(),
         suspicious,
+        alarmed: false,
     }
 }
 
@@ -397,8 +398,8 @@
     };
 
     for prefer in [MovePreference::Safety, MovePreference::Punctuality] {
-        assert_eq!(run(prefer, 1), (MovePhase::Watch, 50));
-        assert_eq!(run(prefer, 200), (MovePhase::Watch, 50));
+        assert_eq!(run(prefer, 1), (MovePhase::Watch, 500));
+        assert_eq!(run(prefer, 200), (MovePhase::Watch, 500));
         assert_eq!(run(prefer, 245), (MovePhase::TakenBack, 0));
     }
 }
@@ -413,7 +414,7 @@
 
     planned.run_for(1, &good(), &policy);
 
-    assert_eq!(lowered, 50);
+    assert_eq!(lowered, 500);
     assert_eq!(planned.split.candidate_permille, TAKEOVER_PERMILLE);
 }
 
--- a/tests/move_verdict.rs
+++ b/tests/move_verdict.rs
@@ -7,6 +7,7 @@
         move_verdict::{
             BadCount, BadKind, MoveVerdict, VerdictPolicy, VerdictTest,
             counter_history::{CounterDifference, CounterHistory, CounterReading},
+            failure_alarm::FailureAlarm,
             odds_test::OutcomeTable,
         },
         wire::{EvidenceCounter, EvidenceReply},
@@ -339,3 +340,26 @@
             }
         });
 }
+
+/// Guards against an alarm that a usual failure raises, that a sharp rise does not raise within seconds, or
+/// that does not end with its cause.
+#[test]
+fn alarm_follows_a_sharp_rise_of_failures() {
+    let mut alarm = FailureAlarm::default();
+    let mut usual = false;
+    for tick in 0..600 {
+        alarm.add(10, u64::from(tick % 30 == 0));
+        usual |= alarm.is_raised();
+    }
+
+    alarm.add(10, 3);
+    alarm.add(10, 3);
+    let risen = alarm.is_raised();
+    for _ in 0..10 {
+        alarm.add(10, 0);
+    }
+
+    assert!(!usual);
+    assert!(risen);
+    assert!(!alarm.is_raised());
+}
