Wake the receiver of an answer that the deadline takes away

Cause: when the deadline passed after the head of an answer and before its body, the answer's body dropped the body it wraps together with the waker registered there. Nothing polled the answer again, so the caller's connection stayed open without data and without an end.

Change: the answer keeps the waker of a receiver that waits and wakes it at the deadline; the receiver then sees the error and the connection is closed. The check of call histories also refuses calls that the caller gave up by its own patience of 60 s.

Conclusion: a call ends at its deadline whatever part of the answer is missing.

--- a/src/call_proxy/body.rs
+++ b/src/call_proxy/body.rs
@@ -12,7 +12,7 @@
         future::Future,
         pin::Pin,
         sync::Arc,
-        task::{Context, Poll, ready},
+        task::{Context, Poll, Waker, ready},
         time::Instant,
     },
     thiserror::Error,
@@ -317,8 +317,10 @@
 struct WatchedState {
     inner: Option<ExchangeBody>,
     watcher: Option<EndWatcher>,
-    /// Whether the receiver has read all there was and waits for more.
-    waiting: bool,
+    /// Wakes the receiver if it has read all there was and waits for more.
+    ///
+    /// The wrapped body forgets its receiver when it is dropped, so the deadline has to wake it.
+    waiting: Option<Waker>,
 }
 
 /// An answer's body that ends at the deadline and tells how it ended.
@@ -337,7 +339,7 @@
         let state = Arc::new(Mutex::new(WatchedState {
             inner: Some(inner),
             watcher: Some(watcher),
-            waiting: false,
+            waiting: None,
         }));
         let timer = (!ended).then(|| expire_at(state.clone(), deadline));
         Self { state, timer }
@@ -349,15 +351,18 @@
         sleep_until(deadline.into()).await;
         let (inner, waiting) = {
             let mut state = state.lock();
-            (state.inner.take(), state.waiting)
+            (state.inner.take(), state.waiting.take())
         };
         drop(inner);
-        let end = if waiting {
+        let end = if waiting.is_some() {
             BodyEnd::DeadlinePassed
         } else {
             BodyEnd::Unread
         };
         finish(&state, end);
+        if let Some(receiver) = waiting {
+            receiver.wake();
+        }
     };
     tokio::spawn(expiry).abort_handle()
 }
@@ -382,7 +387,7 @@
             };
             let polled = Pin::new(&mut *inner).poll_frame(context);
             let ended = inner.is_end_stream();
-            state.waiting = polled.is_pending();
+            state.waiting = polled.is_pending().then(|| context.waker().clone());
             (ready!(polled), ended)
         };
         match &polled {
@@ -418,7 +423,7 @@
         let ended = self.is_end_stream();
         let (inner, waiting) = {
             let mut state = self.state.lock();
-            (state.inner.take(), state.waiting)
+            (state.inner.take(), state.waiting.is_some())
         };
         drop(inner);
         let end = match (ended, waiting) {
--- a/tests/fleet_calls.rs
+++ b/tests/fleet_calls.rs
@@ -99,8 +99,8 @@
     );
 }
 
-/// Guards against a late answer that reaches another call, when calls miss their deadlines while the
-/// target still works on them.
+/// Guards against a late answer that reaches another call, and against an answer that neither ends nor
+/// breaks, when calls miss their deadlines while the target still works on them.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_answers_reach_no_other_call() {
     let script = |seed| TargetScript {
--- a/tests/support/call_history.rs
+++ b/tests/support/call_history.rs
@@ -13,6 +13,9 @@
 /// Outcome header of a call that no target ran.
 const NOT_RUN: &str = "not-run";
 
+/// Error of a call that the caller gave up by its own patience, far above every deadline.
+const ENDLESS: &str = "the caller stopped waiting";
+
 /// Statuses below this one and from 200 on are successes.
 const FIRST_REDIRECT: u16 = 300;
 
@@ -94,6 +97,14 @@
     ids
 }
 
+/// Returns the ids of calls that neither ended nor broke while the caller waited (I5).
+pub fn endless_calls(records: &[CallRecord]) -> Vec<String> {
+    let endless = records
+        .iter()
+        .filter(|record| record.error.as_deref() == Some(ENDLESS));
+    endless.map(|record| record.id.clone()).collect()
+}
+
 fn faulty_ids(
     records: &[CallRecord],
     runs: &[CallRun],
@@ -111,6 +122,7 @@
 
 /// Fails unless calls that may not be repeated kept I5, I6 and I7.
 pub fn assert_once_only(records: &[CallRecord], runs: &[CallRun]) {
+    assert_eq!(endless_calls(records), Vec::<String>::new());
     assert_eq!(repeated_runs(records, runs), Vec::<String>::new());
     assert_eq!(untrue_refusals(records, runs), Vec::<String>::new());
     assert_eq!(foreign_answers(records, runs), Vec::<String>::new());
@@ -118,6 +130,7 @@
 
 /// Fails unless calls that may be repeated kept I5 and I6.
 pub fn assert_truthful(records: &[CallRecord], runs: &[CallRun]) {
+    assert_eq!(endless_calls(records), Vec::<String>::new());
     assert_eq!(refused_and_run(records, runs), Vec::<String>::new());
     assert_eq!(foreign_answers(records, runs), Vec::<String>::new());
 }
