Check histories of keyed calls under failures

Change: keyed calls are sent twice at once through different nodes and a third time afterwards, while targets break connections at every step, nodes are killed and frozen, the platform loses answers, drops writes or is down.

--- /dev/null
+++ b/tests/fleet_once.rs
@@ -0,0 +1,168 @@
+//! Calls with idempotency keys in a fleet of real node processes under failures.
+
+#[path = "support/call_history.rs"]
+mod call_history;
+#[path = "support/fleet_fixture.rs"]
+mod fleet_fixture;
+#[path = "support/fleet_targets.rs"]
+mod fleet_targets;
+
+use {
+    call_history::{assert_once_only, count_refusals, count_successes},
+    fleet_fixture::TestFleet,
+    fleet_targets::{
+        CALL_CONTRACT, PlacedTarget, all_runs, breaking_script, call_plan, place_target,
+        spawn_plan, wait_idle, wait_runs, wait_targets,
+    },
+    poplarwing_standins::{
+        caller::{CallRecord, CallerPlan},
+        platform::FaultPlan,
+        target::script::TargetScript,
+    },
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Time for which a node is frozen; longer than the nodes' timeout of a store request.
+const FREEZE: Duration = Duration::from_millis(2500);
+
+/// Keyed calls of one caller.
+const CALLS: u64 = 300;
+
+/// Keyed calls a second, well within what the nodes may record.
+const RATE: f64 = 50.0;
+
+async fn fleet_with_targets(
+    script: impl Fn(u64) -> TargetScript,
+) -> (TestFleet, Vec<PlacedTarget>) {
+    let fleet = TestFleet::start(5).await;
+    let version = fleet.apply_contract(0, CALL_CONTRACT, 0).await;
+    fleet.wait_in_force(version).await;
+    let mut targets = Vec::new();
+    for (seed, node) in (1..).zip(2..5) {
+        targets.push(place_target(&fleet, node, "v1", script(seed)).await);
+    }
+    wait_targets(&fleet, targets.len()).await;
+    (fleet, targets)
+}
+
+/// Returns a plan of keyed calls whose first call goes to the node `first`.
+fn keyed_plan(fleet: &TestFleet, first: usize) -> CallerPlan {
+    let mut plan = call_plan(fleet, "POST", "/record", RATE, CALLS);
+    plan.nodes.rotate_left(first);
+    plan.key_prefix = Some("key-".to_owned());
+    plan
+}
+
+/// Repeats every call once through other nodes.
+async fn repeat_all(fleet: &TestFleet, records: &mut Vec<CallRecord>) -> Vec<CallRecord> {
+    let repeats = spawn_plan(keyed_plan(fleet, 3)).await.unwrap();
+    records.extend(repeats.clone());
+    repeats
+}
+
+/// Guards against a keyed call that runs twice when its caller sends it twice at the same time and once
+/// more later, while targets break connections at every step.
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_repeats_run_once_when_targets_break_connections() {
+    let (fleet, targets) = fleet_with_targets(|seed| breaking_script(50, seed)).await;
+
+    let first = spawn_plan(keyed_plan(&fleet, 0));
+    let second = spawn_plan(keyed_plan(&fleet, 1));
+    let mut records = first.await.unwrap();
+    records.extend(second.await.unwrap());
+    let repeats = repeat_all(&fleet, &mut records).await;
+    wait_idle(&targets).await;
+
+    assert_once_only(&records, &all_runs(&targets));
+    assert!(count_successes(&repeats) > 100, "kept answers are given");
+}
+
+/// Guards against a keyed call that runs twice when its entry node or its target's node dies or freezes
+/// in the middle and the caller repeats it through another node.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_run_once_when_nodes_are_killed_and_frozen() {
+    let script = |seed| TargetScript {
+        latency_ms: 30,
+        seed,
+        ..TargetScript::default()
+    };
+    let (mut fleet, targets) = fleet_with_targets(script).await;
+
+    let first = spawn_plan(keyed_plan(&fleet, 0));
+    let second = spawn_plan(keyed_plan(&fleet, 2));
+    wait_runs(&targets, 40).await;
+    fleet.nodes.kill(0).expect("the entry node runs");
+    wait_runs(&targets, 80).await;
+    fleet.nodes.kill(2).expect("the target's node runs");
+    fleet.nodes.start(0).expect("the entry node starts again");
+    wait_runs(&targets, 120).await;
+    fleet.nodes.pause(3).expect("the target's node runs");
+    sleep(FREEZE).await;
+    fleet.nodes.resume(3).expect("the target's node is frozen");
+    fleet
+        .nodes
+        .start(2)
+        .expect("the target's node starts again");
+    let mut records = first.await.unwrap();
+    records.extend(second.await.unwrap());
+    let repeats = repeat_all(&fleet, &mut records).await;
+    wait_idle(&targets).await;
+
+    assert_once_only(&records, &all_runs(&targets));
+    assert!(count_successes(&repeats) > 100, "kept answers are given");
+}
+
+/// Guards against a keyed call that runs twice, or runs although it was refused, when the platform loses
+/// answers to writes, drops writes, or goes down right after one.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_run_once_when_the_platform_loses_answers() {
+    let (fleet, targets) = fleet_with_targets(|seed| breaking_script(20, seed)).await;
+
+    let first = spawn_plan(keyed_plan(&fleet, 0));
+    let second = spawn_plan(keyed_plan(&fleet, 1));
+    for round in 1..=4 {
+        wait_runs(&targets, 30 * round).await;
+        fleet.platform.set_faults(FaultPlan {
+            lose_table_answers: 12,
+            drop_table_writes: 4,
+            ..FaultPlan::default()
+        });
+    }
+    wait_runs(&targets, 150).await;
+    fleet.platform.set_faults(FaultPlan {
+        down_after_table_write: true,
+        ..FaultPlan::default()
+    });
+    sleep(FREEZE).await;
+    fleet.platform.set_faults(FaultPlan::default());
+    let mut records = first.await.unwrap();
+    records.extend(second.await.unwrap());
+    let repeats = repeat_all(&fleet, &mut records).await;
+    wait_idle(&targets).await;
+
+    assert_once_only(&records, &all_runs(&targets));
+    assert!(count_successes(&repeats) > 100, "kept answers are given");
+}
+
+/// Guards against a keyed call that runs without a record of its key while the store is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_calls_are_refused_while_the_store_is_down() {
+    let (fleet, targets) = fleet_with_targets(|_| TargetScript::default()).await;
+    fleet.platform.set_faults(FaultPlan {
+        down: true,
+        ..FaultPlan::default()
+    });
+
+    let refused = spawn_plan(keyed_plan(&fleet, 0)).await.unwrap();
+    let runs_before = all_runs(&targets).len();
+    fleet.platform.set_faults(FaultPlan::default());
+    let accepted = spawn_plan(keyed_plan(&fleet, 1)).await.unwrap();
+    wait_idle(&targets).await;
+
+    assert_eq!(runs_before, 0);
+    assert_eq!(count_refusals(&refused), refused.len());
+    let records: Vec<CallRecord> = refused.into_iter().chain(accepted.clone()).collect();
+    assert_once_only(&records, &all_runs(&targets));
+    assert!(count_successes(&accepted) > 200, "calls work again");
+}
