Measure the latency that nodes add to calls

Cause: the metric of the added latency was documented but never fed, since an entry node could not tell the target's time from the nodes' own. Change: the target's node notes the time of the exchange on the answer; the entry node takes it off and subtracts it.

--- a/src/call_events.rs
+++ b/src/call_events.rs
@@ -195,6 +195,9 @@
     pub head_latency: Duration,
     /// Time from the arrival of the call to the end of the answer.
     pub total_latency: Duration,
+    /// Time that the target took for the head of its answer, as its node measured it; none on other nodes
+    /// than the entry node, and without an answer of a target.
+    pub exchange_time: Option<Duration>,
 }
 
 /// Receivers of call events; each runs on the path of the call and must not block.
--- a/src/call_proxy.rs
+++ b/src/call_proxy.rs
@@ -136,6 +136,7 @@
             attempts: 1,
             head_latency: latency,
             total_latency: latency,
+            exchange_time: None,
         };
         (self.hooks.on_end)(&event);
     }
--- a/src/call_proxy/answer.rs
+++ b/src/call_proxy/answer.rs
@@ -2,8 +2,11 @@
 
 use {
     super::{
-        CallContext, ExchangeBody, attempt::AnswerHold, body::WatchedBody,
-        headers::refusal_response, intake::RoutedCall,
+        CallContext, ExchangeBody,
+        attempt::AnswerHold,
+        body::WatchedBody,
+        headers::{refusal_response, take_exchange_time},
+        intake::RoutedCall,
     },
     crate::{
         call_events::{BodyEnd, CallEnd, CallNumber, CallRefusal, CallSide},
@@ -33,6 +36,7 @@
     status: u16,
     refusal: Option<CallRefusal>,
     head_latency: Option<Duration>,
+    exchange_time: Option<Duration>,
     hold: Option<AnswerHold>,
     ended: bool,
     _token: TaskTrackerToken,
@@ -54,6 +58,7 @@
             status: 0,
             refusal: None,
             head_latency: None,
+            exchange_time: None,
             hold: None,
             ended: false,
         }
@@ -120,6 +125,7 @@
             attempts: self.attempts,
             head_latency: self.head_latency.unwrap_or(total_latency),
             total_latency,
+            exchange_time: self.exchange_time,
         };
         (self.context.hooks.on_end)(&event);
     }
@@ -143,10 +149,11 @@
 /// Answers a call with a target's answer, whose body ends the record of the call.
 pub fn give_answer(
     mut progress: CallProgress,
-    response: Response<ExchangeBody>,
+    mut response: Response<ExchangeBody>,
     deadline: Instant,
 ) -> Response<ExchangeBody> {
     progress.note_head(response.status());
+    progress.exchange_time = take_exchange_time(response.headers_mut());
     response.map(|body| {
         let watcher = Box::new(move |end| progress.finish(end));
         WatchedBody::new(body, deadline, watcher).boxed_unsync()
--- a/src/call_proxy/attempt.rs
+++ b/src/call_proxy/attempt.rs
@@ -5,7 +5,10 @@
         CallContext, ExchangeBody,
         answer::CallProgress,
         body::{BodyError, GuardedBody, ReplayBody, ReplayBuffer},
-        headers::{HOP_HEADER, HopRecord, parse_refusal, set_timeout, strip_headers},
+        headers::{
+            HOP_HEADER, HopRecord, parse_refusal, set_exchange_time, set_timeout, strip_headers,
+            take_exchange_time,
+        },
         intake::{RoutedCall, over_limit},
     },
     crate::{
@@ -438,7 +441,11 @@
         if let Some(refusal) = parse_refusal(answer.status(), answer.headers(), &target.node) {
             return Err(refusal);
         }
+        let elapsed = take_exchange_time(answer.headers_mut());
         strip_headers(answer.headers_mut());
+        if let Some(elapsed) = elapsed {
+            set_exchange_time(answer.headers_mut(), elapsed);
+        }
         Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync()))
     }
 
--- a/src/call_proxy/headers.rs
+++ b/src/call_proxy/headers.rs
@@ -31,6 +31,9 @@
 /// Carries the choices of the entry node to the target's node.
 pub const HOP_HEADER: HeaderName = HeaderName::from_static("poplarwing-hop");
 
+/// Time that the target took for the head of its answer, in microseconds; never sent to callers.
+pub const EXCHANGE_TIME_HEADER: HeaderName = HeaderName::from_static("poplarwing-exchange-us");
+
 /// Remaining deadline in milliseconds.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("x-request-timeout-ms");
 
@@ -118,6 +121,19 @@
     headers.insert(TIMEOUT_HEADER, HeaderValue::from(millis));
 }
 
+/// Notes on an answer how long the target took for its head.
+pub fn set_exchange_time(headers: &mut HeaderMap, elapsed: Duration) {
+    let micros = elapsed.as_micros().min(u128::from(u64::MAX)) as u64;
+    headers.insert(EXCHANGE_TIME_HEADER, HeaderValue::from(micros));
+}
+
+/// Takes the time that the target took from an answer.
+pub fn take_exchange_time(headers: &mut HeaderMap) -> Option<Duration> {
+    let value = headers.remove(EXCHANGE_TIME_HEADER)?;
+    let micros = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_micros(micros))
+}
+
 /// Removes headers that concern one connection, and those that only nodes may set.
 pub fn strip_headers(headers: &mut HeaderMap) {
     let mut dropped: Vec<HeaderName> = named_by_connection(headers);
--- a/src/forward_server.rs
+++ b/src/forward_server.rs
@@ -13,7 +13,10 @@
         call_proxy::{
             CallContext, ExchangeBody,
             body::{GuardedBody, WatchedBody},
-            headers::{HopRecord, parse_timeout, refusal_response, set_timeout, strip_headers},
+            headers::{
+                HopRecord, parse_timeout, refusal_response, set_exchange_time, set_timeout,
+                strip_headers,
+            },
             http_server::serve_http,
             received_body::receive_request,
         },
@@ -146,12 +149,14 @@
 ) -> Result<Response<ExchangeBody>, CallRefusal> {
     let method = request.method().clone();
     let ending = hold.ending();
+    let begun = Instant::now();
     let sent = timeout_at(deadline.into(), handle.client.send(request)).await;
     let answer = match sent {
         Err(_) => return Err(trace.end_late(&route)),
         Ok(Err(error)) => return Err(refuse_exchange(trace, error)),
         Ok(Ok(answer)) => answer,
     };
+    let elapsed = begun.elapsed();
     trace.note_head(answer.status());
     if !is_framed(&method, &answer) {
         let refusal = CallRefusal::unknown(
@@ -170,6 +175,7 @@
         WatchedBody::new(inner, deadline, watcher).boxed_unsync()
     });
     strip_headers(answer.headers_mut());
+    set_exchange_time(answer.headers_mut(), elapsed);
     Ok(answer)
 }
 
--- a/src/forward_server/exchange_trace.rs
+++ b/src/forward_server/exchange_trace.rs
@@ -222,6 +222,7 @@
                 .head
                 .map_or(total_latency, |head| waited + head.latency),
             total_latency,
+            exchange_time: None,
         };
         (self.context.hooks.on_end)(&event);
     }
--- a/src/node/call_reports.rs
+++ b/src/node/call_reports.rs
@@ -42,6 +42,7 @@
 fn report_end(end: &CallEnd, metrics: &NodeMetrics) {
     if end.side == CallSide::Entry {
         metrics.count_call(counted_outcome(end));
+        record_added(end, metrics);
     }
     let Some(refusal) = &end.refusal else {
         return;
@@ -61,6 +62,15 @@
     });
 }
 
+/// Records the part of a call's time that its nodes and the network between them added.
+fn record_added(end: &CallEnd, metrics: &NodeMetrics) {
+    if let Some(exchange) = end.exchange_time
+        && end.attempts == 1
+    {
+        metrics.record_added_latency(end.head_latency.saturating_sub(exchange));
+    }
+}
+
 fn counted_outcome(end: &CallEnd) -> CountedOutcome {
     match (&end.refusal, end.body) {
         (None, BodyEnd::Whole) => CountedOutcome::Answered,
--- a/tests/call_path.rs
+++ b/tests/call_path.rs
@@ -27,7 +27,7 @@
             script::{AnswerHeader, FailureKind, FailureRule, TargetScript},
         },
     },
-    std::{net::SocketAddr, sync::atomic::Ordering},
+    std::{net::SocketAddr, sync::atomic::Ordering, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -451,3 +451,34 @@
     );
     assert_eq!(not_ready.outcome(), Some("not-run"));
 }
+
+/// Guards against an added latency that counts the target's own time, and against the node's figures
+/// reaching callers.
+#[tokio::test]
+async fn the_entry_node_learns_how_long_the_target_took() {
+    let plan = plan();
+    let nodes = [
+        start_node("n1", &plan, None).await,
+        start_node("n2", &plan, None).await,
+    ];
+    let slow = TargetScript {
+        latency_ms: 30,
+        ..TargetScript::default()
+    };
+    let _target = nodes[1].add_target("v1", slow).await;
+    link(&[&nodes[0], &nodes[1]], 1);
+
+    let forwarded = call(&nodes[0], "GET", "/jobs", "t1", "").await;
+    let local = call(&nodes[1], "GET", "/jobs", "t2", "").await;
+
+    for (node, answer) in [(&nodes[0], forwarded), (&nodes[1], local)] {
+        assert_eq!(answer.header("poplarwing-exchange-us"), None);
+        wait_until("the call has ended", || !node.ends().is_empty()).await;
+        let ends = node.ends();
+        let end = ends.iter().find(|end| end.side == CallSide::Entry);
+        let end = end.expect("the entry node reports the end");
+        let exchange = end.exchange_time.expect("the target answered");
+        assert!(exchange >= Duration::from_millis(30));
+        assert!(exchange <= end.head_latency);
+    }
+}
