Join the groups of a fleet's seeds

Seeds at equal steps of count / 6 fall into separate groups for some sizes: with 12 nodes the even and the odd nodes never heard of each other, and a node knew 6 of 12 members for as long as it ran. The next node is now always a seed.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -326,11 +326,16 @@
 }
 
 /// Returns other nodes spread over the fleet, or the node itself if it is alone.
+///
+/// The next node is always among them: nodes at equal steps alone can form groups that never hear of each
+/// other, for example the even and the odd ones of 12 nodes.
 fn seeds_of(index: usize, addresses: &[NodeAddresses]) -> String {
     let count = addresses.len();
     let step = (count / (SEEDS_PER_NODE + 1)).max(1);
-    let mut chosen: Vec<usize> = (1..=SEEDS_PER_NODE)
-        .map(|turn| (index + turn * step) % count)
+    let mut chosen: Vec<usize> = (1..SEEDS_PER_NODE)
+        .map(|turn| turn * step)
+        .chain([1])
+        .map(|offset| (index + offset) % count)
         .filter(|seed| *seed != index)
         .collect();
     chosen.sort_unstable();
