Measure latency, convergence, control and storms with node processes

The figures so far come from simulated time. These experiments start real node processes of the release build beside the measuring program, at most 200.

--- /dev/null
+++ b/experiments/src/control.rs
@@ -0,0 +1,186 @@
+//! Control bytes, processor time and memory of node processes at rest and under churn.
+
+use {
+    crate::{
+        node_group::{GroupError, NodeGroup, chosen_sizes, contract_text, report, run_experiment},
+        process_stat::{processor_seconds, resident_megabytes},
+    },
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+/// Numbers of node processes, with the services below.
+const SIZES: [usize; 4] = [25, 50, 100, 200];
+
+/// Services in the contract when the number of nodes varies.
+const SERVICES: usize = 10;
+
+/// Numbers of services, with the nodes below.
+const SERVICE_SIZES: [usize; 3] = [10, 100, 750];
+
+/// Nodes when the number of services varies.
+const NODES: usize = 12;
+
+/// Rounds of a measurement. In each, targets are announced again and, under churn, one change is made.
+const ROUNDS: u64 = 5;
+
+/// Length of a round; targets announce themselves every 2 s.
+const ROUND: Duration = Duration::from_secs(2);
+
+/// What happens during a measurement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ControlLoad {
+    Rest,
+    Changes,
+    Restarts,
+}
+
+impl ControlLoad {
+    fn label(self) -> &'static str {
+        match self {
+            ControlLoad::Rest => "at rest",
+            ControlLoad::Changes => "0.5 changes a second",
+            ControlLoad::Restarts => "0.5 restarts a second",
+        }
+    }
+}
+
+/// What one node has used so far.
+#[derive(Clone, Copy, Debug)]
+struct NodeUse {
+    processor: f64,
+    received: f64,
+    sent: f64,
+}
+
+/// Runs one or all sizes and prints the figures.
+pub fn run(only: Option<usize>) -> Result<(), GroupError> {
+    run_experiment(async {
+        for size in chosen_sizes(&SIZES, only) {
+            let mut group = NodeGroup::start(size, SERVICES).await?;
+            group.announce_all(SERVICES).await;
+            let loads = [
+                ControlLoad::Rest,
+                ControlLoad::Changes,
+                ControlLoad::Restarts,
+            ];
+            for (turn, load) in loads.into_iter().enumerate() {
+                measure(&mut group, SERVICES, load, turn as u64, "nodes", size).await?;
+            }
+        }
+        let service_sizes = if only.is_none() {
+            &SERVICE_SIZES[..]
+        } else {
+            &[]
+        };
+        for &services in service_sizes {
+            let mut group = NodeGroup::start(NODES, services).await?;
+            group.announce_all(services).await;
+            for (turn, load) in [ControlLoad::Rest, ControlLoad::Changes]
+                .into_iter()
+                .enumerate()
+            {
+                measure(
+                    &mut group,
+                    services,
+                    load,
+                    turn as u64,
+                    "services",
+                    services,
+                )
+                .await?;
+            }
+        }
+        Ok(())
+    })
+}
+
+async fn measure(
+    group: &mut NodeGroup,
+    services: usize,
+    load: ControlLoad,
+    turn: u64,
+    axis: &str,
+    size: usize,
+) -> Result<(), GroupError> {
+    // The nodes from the middle on are restarted; those before are measured.
+    let measured: Vec<usize> = (0..group.nodes.len() / 2).collect();
+    let before = use_of(group, &measured).await;
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        let round_started = Instant::now();
+        let generation = turn * ROUNDS + round + 1;
+        match load {
+            ControlLoad::Rest => {}
+            ControlLoad::Changes => {
+                let text = contract_text(services, generation);
+                group.apply(round as usize % measured.len(), &text).await?;
+            }
+            ControlLoad::Restarts => {
+                let index = measured.len() + round as usize;
+                group.nodes.kill(index)?;
+                group.nodes.start(index)?;
+            }
+        }
+        group.announce_all(services).await;
+        sleep(ROUND.saturating_sub(round_started.elapsed())).await;
+    }
+    let after = use_of(group, &measured).await;
+    let elapsed = started.elapsed().as_secs_f64();
+    report_use(group, &before, &after, elapsed, load, axis, size);
+    Ok(())
+}
+
+async fn use_of(group: &NodeGroup, nodes: &[usize]) -> Vec<NodeUse> {
+    let mut uses = Vec::new();
+    for index in nodes {
+        let control = group.control_bytes(*index).await.unwrap_or_default();
+        let process = group.nodes.process_id(*index);
+        uses.push(NodeUse {
+            processor: process.and_then(processor_seconds).unwrap_or_default(),
+            received: control.received,
+            sent: control.sent,
+        });
+    }
+    uses
+}
+
+fn report_use(
+    group: &NodeGroup,
+    before: &[NodeUse],
+    after: &[NodeUse],
+    elapsed: f64,
+    load: ControlLoad,
+    axis: &str,
+    size: usize,
+) {
+    let rates = |value: fn(&NodeUse) -> f64| -> Vec<f64> {
+        let pairs = before.iter().zip(after);
+        pairs
+            .map(|(before, after)| (value(after) - value(before)) / elapsed)
+            .collect()
+    };
+    let memory: Vec<f64> = (0..before.len())
+        .filter_map(|index| resident_megabytes(group.nodes.process_id(index)?))
+        .collect();
+    let percent = rates(|node| node.processor * 100.0);
+    show(
+        "received",
+        &rates(|node| node.received),
+        "B/s",
+        load,
+        axis,
+        size,
+    );
+    show("sent", &rates(|node| node.sent), "B/s", load, axis, size);
+    show("processor time", &percent, "% of a core", load, axis, size);
+    show("resident memory", &memory, "MB", load, axis, size);
+}
+
+fn show(figure: &str, values: &[f64], unit: &str, load: ControlLoad, axis: &str, size: usize) {
+    let mean = values.iter().sum::<f64>() / values.len() as f64;
+    let most = values.iter().copied().fold(0.0, f64::max);
+    let label = |kind: &str| format!("{figure}, {kind}, {}, over {axis}", load.label());
+    report("control", &label("mean"), mean, unit, "poplarwing", size);
+    report("control", &label("most"), most, unit, "poplarwing", size);
+}
--- a/experiments/src/main.rs
+++ b/experiments/src/main.rs
@@ -1,13 +1,20 @@
 //! Runs one experiment and prints a JSON object a line.
 
+mod control;
+mod convergence;
 mod figure;
+mod latency;
 mod limits;
 mod moves;
+mod node_group;
+mod process_stat;
 #[allow(dead_code, reason = "the tests use other parts of the driver")]
 mod simulated_net;
 mod spread;
+mod storm;
 
 use {
+    crate::node_group::GroupError,
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     std::process::ExitCode,
 };
@@ -15,6 +22,10 @@
 fn main() -> ExitCode {
     let matches = command().get_matches();
     match matches.subcommand() {
+        Some(("control", arguments)) => return finish(control::run(nodes_of(arguments))),
+        Some(("convergence", arguments)) => return finish(convergence::run(nodes_of(arguments))),
+        Some(("latency", _)) => return finish(latency::run()),
+        Some(("storm", arguments)) => return finish(storm::run(nodes_of(arguments))),
         Some(("limits", _)) => limits::run(),
         Some(("moves", arguments)) => moves::run(is_tuning(arguments)),
         Some(("spread", arguments)) => spread::run(seed_of(arguments)),
@@ -23,6 +34,16 @@
     ExitCode::SUCCESS
 }
 
+fn finish(result: Result<(), GroupError>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn command() -> Command {
     let tuning = Arg::new("tuning")
         .long("tuning")
@@ -33,9 +54,29 @@
         .help("Seed of the run")
         .value_parser(value_parser!(u64))
         .default_value("1");
+    let nodes = Arg::new("nodes")
+        .long("nodes")
+        .help("Runs only this number of node processes")
+        .value_parser(value_parser!(u64).range(12..=200));
     Command::new("measure")
         .about("Runs one experiment and prints a JSON object a line")
         .subcommand_required(true)
+        .subcommand(
+            Command::new("control")
+                .about("Control bytes, processor time and memory of node processes")
+                .arg(nodes.clone()),
+        )
+        .subcommand(
+            Command::new("convergence")
+                .about("Time from acceptance until in force on all node processes")
+                .arg(nodes.clone()),
+        )
+        .subcommand(Command::new("latency").about("What node processes add to a call"))
+        .subcommand(
+            Command::new("storm")
+                .about("Requests to the store when node processes come back at once")
+                .arg(nodes),
+        )
         .subcommand(Command::new("limits").about("Overshoot and unfair refusals of divided limits"))
         .subcommand(
             Command::new("moves")
@@ -56,3 +97,8 @@
 fn seed_of(arguments: &ArgMatches) -> u64 {
     *arguments.get_one("seed").expect("clap has a default")
 }
+
+fn nodes_of(arguments: &ArgMatches) -> Option<usize> {
+    let nodes: Option<&u64> = arguments.get_one("nodes");
+    nodes.map(|nodes| *nodes as usize)
+}
