Do not pull versions below the floor

Cause: a node whose floor is above the versions of all its peers pulled the whole configuration at each packet and refused it each time. Change: neither the gossip nor the join pulls a version below the floor. Conclusion: waiting for a newer version costs no transfers.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -322,7 +322,9 @@
 impl GossipNode {
     /// Notes a peer with a newer version and starts a pull unless one runs.
     fn want(&self, newer: NewerVersion, cancel: &CancellationToken) {
-        if !self.shared.board.gate.is_floor_known() {
+        let gate = &self.shared.board.gate;
+        // The gate would refuse the version, and the next packet would ask for the same pull again.
+        if !gate.is_floor_known() || newer.version < gate.floor() {
             return;
         }
         let mut pull = self.shared.pull.lock();
--- a/src/join.rs
+++ b/src/join.rs
@@ -234,7 +234,8 @@
         open_gate(settings, board, ledger);
     }
     let best = ledger.lock().best;
-    let Some(best) = best.filter(|best| best.version > board.gate.version()) else {
+    let lowest = board.gate.floor().max(board.gate.version() + 1);
+    let Some(best) = best.filter(|best| best.version >= lowest) else {
         return;
     };
     let node = &settings.node.id;
--- a/tests/join_floor.rs
+++ b/tests/join_floor.rs
@@ -130,6 +130,22 @@
     assert_eq!(version, 0, "a version below the floor is in force");
 }
 
+/// Guards against a node above all its peers pulling from them again and again, only to refuse.
+#[tokio::test]
+async fn versions_below_the_floor_are_not_pulled() {
+    let mut peers = peers(&[20, 20, 21]).await;
+    peers.iter_mut().for_each(TestNode::run_gossip);
+    let mut node = TestNode::start("joiner", &addresses(&peers), 1).await;
+    node.run_gossip();
+
+    join(&node, Ok(22)).await;
+    let counters = node.gossip.counters();
+    wait_for("packets of the peers", || counters.packets_in.get() > 60).await;
+
+    assert_eq!(counters.pulls_failed.get(), 0);
+    assert_eq!(counters.pulls_applied.get(), 0);
+}
+
 /// Guards against a floor that rises with what peers accept after the read, and against the first pull
 /// being left out.
 #[tokio::test]
