Check planned stops under uploads and calls

Change: nodes are terminated, and a target announces that it drains, while 20 uploads of 1.9 MB are sent slowly through all nodes and other calls go on.

--- /dev/null
+++ b/tests/fleet_drain.rs
@@ -0,0 +1,173 @@
+//! Planned stops of nodes and targets while calls and uploads are in progress.
+
+#[path = "support/call_history.rs"]
+mod call_history;
+#[path = "support/fleet_fixture.rs"]
+mod fleet_fixture;
+#[path = "support/fleet_targets.rs"]
+mod fleet_targets;
+#[path = "support/slow_upload.rs"]
+mod slow_upload;
+
+use {
+    call_history::{assert_once_only, count_successes, cut_calls},
+    fleet_fixture::{PATIENCE, TestFleet, wait_until},
+    fleet_targets::{
+        CALL_CONTRACT, PlacedTarget, all_runs, call_plan, place_target, spawn_plan, wait_idle,
+        wait_runs, wait_targets,
+    },
+    futures::future::join_all,
+    poplarwing_standins::target::script::TargetScript,
+    slow_upload::{UploadEnd, send_upload},
+    tokio::task::JoinHandle,
+};
+
+/// Uploads through each node.
+const UPLOADS_PER_NODE: usize = 4;
+
+/// Runs of other targets that show that callers have gone on.
+const FURTHER_RUNS: usize = 200;
+
+async fn fleet_with_targets() -> (TestFleet, Vec<PlacedTarget>) {
+    let fleet = TestFleet::start(5).await;
+    let version = fleet.apply_contract(0, CALL_CONTRACT, 0).await;
+    fleet.wait_in_force(version).await;
+    let mut targets = Vec::new();
+    for node in 2..5 {
+        let script = TargetScript {
+            latency_ms: 10,
+            ..TargetScript::default()
+        };
+        targets.push(place_target(&fleet, node, "v1", script).await);
+    }
+    wait_targets(&fleet, targets.len()).await;
+    (fleet, targets)
+}
+
+fn spawn_uploads(fleet: &TestFleet) -> Vec<JoinHandle<UploadEnd>> {
+    let nodes = 0..fleet.nodes.len();
+    let uploads = nodes.flat_map(|index| {
+        let node = fleet.nodes.addresses(index).call;
+        (0..UPLOADS_PER_NODE)
+            .map(move |number| tokio::spawn(send_upload(node, format!("upload-{index}-{number}"))))
+    });
+    uploads.collect()
+}
+
+/// Returns the uploads that did not end whole.
+async fn broken_uploads(uploads: Vec<JoinHandle<UploadEnd>>) -> Vec<UploadEnd> {
+    let ends = join_all(uploads).await.into_iter().map(Result::unwrap);
+    ends.filter(|end| !end.whole).collect()
+}
+
+fn count_uploads(targets: &[PlacedTarget]) -> usize {
+    let runs = all_runs(targets);
+    runs.iter()
+        .filter(|run| run.path == "/upload" && run.received > 0)
+        .count()
+}
+
+async fn wait_uploads(targets: &[PlacedTarget], count: usize) {
+    wait_until("the uploads are in progress", async || {
+        count_uploads(targets) == count
+    })
+    .await;
+}
+
+fn runs_at(targets: &[PlacedTarget], node: usize) -> usize {
+    let placed = targets.iter().find(|placed| placed.node == node);
+    placed.map_or(0, |placed| placed.target.book().runs().len())
+}
+
+/// Waits until all nodes see a member in such a way.
+async fn wait_seen(
+    fleet: &TestFleet,
+    observers: &[usize],
+    member: usize,
+    field: &str,
+    expected: &serde_json::Value,
+) {
+    let name = fleet.nodes.id(member).to_owned();
+    for observer in observers {
+        let what = format!("node {observer} sees {field} of {name} as {expected}");
+        wait_until(&what, async || {
+            let status = fleet.status(*observer).await.unwrap_or_default();
+            let members = status["members"].as_array().cloned().unwrap_or_default();
+            let record = members
+                .iter()
+                .find(|record| record["node"] == name.as_str());
+            record.is_some_and(|record| record.pointer(field) == Some(expected))
+        })
+        .await;
+    }
+}
+
+/// Guards against a planned stop that cuts off an upload or a call, leaves work running without an end,
+/// or goes on giving work to the stopped node's target.
+#[tokio::test(flavor = "multi_thread")]
+async fn terminated_nodes_finish_uploads_and_cut_no_call() {
+    let (mut fleet, targets) = fleet_with_targets().await;
+    let orders = spawn_plan(call_plan(&fleet, "POST", "/order", 200.0, 2400));
+    let uploads = spawn_uploads(&fleet);
+    wait_uploads(&targets, uploads.len()).await;
+
+    fleet.nodes.terminate(0).expect("the entry node runs");
+    fleet.nodes.terminate(2).expect("the target's node runs");
+    wait_seen(&fleet, &[1, 3, 4], 2, "/state", &"left".into()).await;
+    wait_runs(&targets, all_runs(&targets).len() + FURTHER_RUNS / 4).await;
+    let departed_runs = runs_at(&targets, 2);
+    wait_runs(&targets, all_runs(&targets).len() + FURTHER_RUNS).await;
+    let later_runs = runs_at(&targets, 2);
+    let broken = broken_uploads(uploads).await;
+    let entry_exit = fleet.nodes.wait_exit(0, PATIENCE).expect("node 0 ends");
+    let target_exit = fleet.nodes.wait_exit(2, PATIENCE).expect("node 2 ends");
+    let orders = orders.await.unwrap();
+    wait_idle(&targets).await;
+
+    assert_eq!(broken, Vec::new());
+    assert_eq!(entry_exit.code(), Some(0), "{}", fleet.nodes.log(0));
+    assert_eq!(target_exit.code(), Some(0), "{}", fleet.nodes.log(2));
+    assert_eq!(later_runs, departed_runs);
+    let order_runs: Vec<_> = all_runs(&targets)
+        .into_iter()
+        .filter(|run| run.path == "/order")
+        .collect();
+    assert_once_only(&orders, &order_runs);
+    assert_eq!(cut_calls(&orders), Vec::<String>::new());
+    assert!(
+        count_successes(&orders) > 1200,
+        "{}",
+        count_successes(&orders)
+    );
+}
+
+/// Guards against new work for a target that announces that it drains, and against uploads to it that
+/// are cut off.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_target_gets_no_new_work_and_keeps_its_uploads() {
+    let (fleet, targets) = fleet_with_targets().await;
+    let orders = spawn_plan(call_plan(&fleet, "POST", "/order", 200.0, 2000));
+    let uploads = spawn_uploads(&fleet);
+    wait_uploads(&targets, uploads.len()).await;
+
+    targets[1].target.set_script(TargetScript {
+        latency_ms: 10,
+        draining: true,
+        ..TargetScript::default()
+    });
+    let node = targets[1].node;
+    let all: Vec<usize> = (0..fleet.nodes.len()).collect();
+    wait_seen(&fleet, &all, node, "/target/draining", &true.into()).await;
+    wait_runs(&targets, all_runs(&targets).len() + FURTHER_RUNS / 4).await;
+    let departed_runs = runs_at(&targets, node);
+    wait_runs(&targets, all_runs(&targets).len() + FURTHER_RUNS).await;
+    let later_runs = runs_at(&targets, node);
+    let broken = broken_uploads(uploads).await;
+    let orders = orders.await.unwrap();
+    wait_idle(&targets).await;
+
+    assert_eq!(broken, Vec::new());
+    assert_eq!(later_runs, departed_runs);
+    assert_eq!(cut_calls(&orders), Vec::<String>::new());
+    assert_eq!(count_successes(&orders), orders.len());
+}
--- a/tests/support/call_history.rs
+++ b/tests/support/call_history.rs
@@ -105,6 +105,19 @@
     endless.map(|record| record.id.clone()).collect()
 }
 
+/// Returns the ids of calls that were cut off (I9): reached a node and got neither a whole answer nor the
+/// refusal "not run".
+pub fn cut_calls(records: &[CallRecord]) -> Vec<String> {
+    let cut = records.iter().filter(|record| {
+        let unreached = record
+            .error
+            .as_deref()
+            .is_some_and(|cause| cause.contains("ConnectError"));
+        !(is_success(record) || is_refusal(record) || unreached)
+    });
+    cut.map(|record| format!("{record:?}")).collect()
+}
+
 fn faulty_ids(
     records: &[CallRecord],
     runs: &[CallRun],
