--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -46,9 +46,6 @@
     /// Synchronisation over TCP.
     #[display("sync")]
     Sync,
-    /// Requests to the platform's store.
-    #[display("store")]
-    Store,
 }
 
 /// How a call ended for its caller.
--- a/src/value_rule.rs
+++ b/src/value_rule.rs
@@ -241,14 +241,14 @@
     !values.iter().enumerate().any(repeated)
 }
 
-/// Returns the rule for URLs of the platform's services.
+/// Returns the rule for URLs of the platform's services, which are reached without TLS so far.
 pub fn url_rule() -> ValueRule<impl Fn(&str) -> Option<String>> {
     rule(
-        "an http or https URL with a host, such as http://10.0.0.2:8000",
+        "an http URL with a host, such as http://10.0.0.2:8000",
         |text| {
             let uri: Uri = text.parse().ok()?;
-            let scheme = matches!(uri.scheme_str(), Some("http" | "https"));
-            (scheme && uri.host().is_some_and(|host| !host.is_empty())).then(|| text.to_owned())
+            let is_http = uri.scheme_str() == Some("http");
+            (is_http && uri.host().is_some_and(|host| !host.is_empty())).then(|| text.to_owned())
         },
     )
 }
--- a/tests/settings_parse.rs
+++ b/tests/settings_parse.rs
@@ -116,7 +116,8 @@
     check_faults(
         r#"
 id = n1 => id = N 1 => 2: [node] id: found "N 1"; allowed: 1 to 63 of a-z
-http://127.0.0.1:8000 => 127.0.0.1:8000 => 10: [platform] table_endpoint: found "127.0.0.1:8000"; allowed: an http or
+http://127.0.0.1:8000 => 127.0.0.1:8000 => 10: [platform] table_endpoint: found "127.0.0.1:8000"; allowed: an http URL
+http://127.0.0.1:8000 => https://127.0.0.1:8000 => 10: [platform] table_endpoint: found "https://127.0.0.1:8000"; allowed: an http URL
 table = t => table = t u => 11: [platform] table: found "t u"; allowed: 1 to 255 visible ASCII
 [gossip] => request_timeout = 0s\n[gossip] => 17: [platform] request_timeout: found "0s"; allowed: a duration from 10ms
 seeds => push_fanout = 0\nseeds => 18: [gossip] push_fanout: found "0"; allowed: a whole number from 1 to 64 (members)
