Draw the values of the move properties from fixed seeds

Cause: the test engine of bolero takes its seeds from the operating system, so two runs test different values. Change: the three properties use the shared for_each_seed with as many values as before. Conclusion: the same verdict on every run.

--- a/tests/move_planner.rs
+++ b/tests/move_planner.rs
@@ -1,7 +1,11 @@
 //! The planner of moves: phases, deadlines, lost targets and restarts.
 
+#[path = "support/fixed_seeds.rs"]
+mod fixed_seeds;
+
 use {
-    bolero::{TypeGenerator, check},
+    bolero::TypeGenerator,
+    fixed_seeds::for_each_seed,
     poplarwing::{
         config::{MovePhase, MovePolicy, MovePreference, ServiceKey, TrafficSplit},
         move_controller::{
@@ -514,51 +518,45 @@
 /// against any share after a bad verdict.
 #[test]
 fn unproven_or_bad_candidate_never_gets_more_than_its_share() {
-    check!()
-        .with_type::<Vec<RandomSecond>>()
-        .with_iterations(1000)
-        .for_each(|seconds| {
-            let policy = policy(MovePreference::Safety);
-            let mut planned = PlannedMove::start();
-            let mut proven = false;
-            let mut condemned = false;
-            for second in seconds {
-                let verdict = second.verdict();
-                proven |= matches!(verdict, MoveVerdict::Good(_));
-                condemned |= matches!(verdict, MoveVerdict::Bad(_)) && is_running(planned.phase());
-                for _ in 0..=second.repeat {
-                    planned.step(&verdict, &second.targets(), &policy);
-                    let share = planned.split.candidate_permille;
-                    assert!(proven || share <= policy.canary_permille);
-                    assert!(!condemned || (share == 0 && planned.split.stable == "v1"));
-                }
+    for_each_seed(1000, |seconds: Vec<RandomSecond>| {
+        let policy = policy(MovePreference::Safety);
+        let mut planned = PlannedMove::start();
+        let mut proven = false;
+        let mut condemned = false;
+        for second in &seconds {
+            let verdict = second.verdict();
+            proven |= matches!(verdict, MoveVerdict::Good(_));
+            condemned |= matches!(verdict, MoveVerdict::Bad(_)) && is_running(planned.phase());
+            for _ in 0..=second.repeat {
+                planned.step(&verdict, &second.targets(), &policy);
+                let share = planned.split.candidate_permille;
+                assert!(proven || share <= policy.canary_permille);
+                assert!(!condemned || (share == 0 && planned.split.stable == "v1"));
             }
-        });
+        }
+    });
 }
 
 /// Guards against a vetoed move that ends in any other way than taken back, whatever the verdict and the
 /// number of lost writes.
 #[test]
 fn vetoed_move_ends_taken_back() {
-    check!()
-        .with_type::<Vec<RandomSecond>>()
-        .with_iterations(1000)
-        .for_each(|seconds| {
-            let policy = policy(MovePreference::Punctuality);
-            let mut planned = PlannedMove::at(MovePhase::Ramp, 250);
-            planned.veto = Some(VetoRecord {
-                key: stable_split().key,
-                move_id: 7,
-                issuer: "n3".to_owned(),
-                reason: "jobs: failed".to_owned(),
-            });
-            for second in seconds {
-                let before = planned.split.clone();
-                planned.step(&second.verdict(), &second.targets(), &policy);
-                assert_eq!(planned.phase(), MovePhase::TakenBack);
-                if second.lost_write {
-                    planned.split = before;
-                }
-            }
+    for_each_seed(1000, |seconds: Vec<RandomSecond>| {
+        let policy = policy(MovePreference::Punctuality);
+        let mut planned = PlannedMove::at(MovePhase::Ramp, 250);
+        planned.veto = Some(VetoRecord {
+            key: stable_split().key,
+            move_id: 7,
+            issuer: "n3".to_owned(),
+            reason: "jobs: failed".to_owned(),
         });
+        for second in &seconds {
+            let before = planned.split.clone();
+            planned.step(&second.verdict(), &second.targets(), &policy);
+            assert_eq!(planned.phase(), MovePhase::TakenBack);
+            if second.lost_write {
+                planned.split = before;
+            }
+        }
+    });
 }
--- a/tests/move_verdict.rs
+++ b/tests/move_verdict.rs
@@ -1,7 +1,10 @@
 //! The sequential test of a candidate against the stable version.
 
+#[path = "support/fixed_seeds.rs"]
+mod fixed_seeds;
+
 use {
-    bolero::check,
+    fixed_seeds::for_each_seed,
     poplarwing::{
         call_evidence::{BUCKET_COUNT, bucket_of},
         move_verdict::{
@@ -319,26 +322,23 @@
 /// Guards against negative differences, wrapped to huge counts, when counters restart or readings cross.
 #[test]
 fn differences_never_exceed_the_reading() {
-    check!()
-        .with_type::<Vec<(u8, u8, u8)>>()
-        .with_iterations(2000)
-        .for_each(|readings| {
-            let mut history = CounterHistory::new(16, Duration::from_secs(60));
-            for (tick, (incarnation, calls, failures)) in readings.iter().enumerate() {
-                let failures = (*failures).min(*calls);
-                let reading = reading(
-                    u64::from(*incarnation % 4),
-                    u64::from(*calls),
-                    u64::from(failures),
-                );
-                let now = Duration::from_secs(tick as u64);
-                for difference in history.differences(&[reading], now) {
-                    assert!(difference.calls <= u64::from(*calls));
-                    assert!(difference.failures <= u64::from(*calls));
-                    assert!(difference.buckets.iter().sum::<u64>() <= u64::from(*calls));
-                }
+    for_each_seed(2000, |readings: Vec<(u8, u8, u8)>| {
+        let mut history = CounterHistory::new(16, Duration::from_secs(60));
+        for (tick, (incarnation, calls, failures)) in readings.iter().enumerate() {
+            let failures = (*failures).min(*calls);
+            let reading = reading(
+                u64::from(*incarnation % 4),
+                u64::from(*calls),
+                u64::from(failures),
+            );
+            let now = Duration::from_secs(tick as u64);
+            for difference in history.differences(&[reading], now) {
+                assert!(difference.calls <= u64::from(*calls));
+                assert!(difference.failures <= u64::from(*calls));
+                assert!(difference.buckets.iter().sum::<u64>() <= u64::from(*calls));
             }
-        });
+        }
+    });
 }
 
 /// Guards against an alarm that a usual failure raises, that a sharp rise does not raise within seconds, or
