--- a/experiments/src/main.rs
+++ b/experiments/src/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod moves;
 mod node_group;
+mod overload;
 mod process_stat;
 #[allow(dead_code, reason = "the tests use other parts of the driver")]
 mod simulated_net;
@@ -27,6 +28,7 @@
         Some(("latency", _)) => return finish(latency::run()),
         Some(("storm", arguments)) => return finish(storm::run(nodes_of(arguments))),
         Some(("limits", _)) => limits::run(),
+        Some(("overload", _)) => overload::run(),
         Some(("moves", arguments)) => moves::run(is_tuning(arguments)),
         Some(("spread", arguments)) => spread::run(seed_of(arguments)),
         _ => unreachable!("clap requires a known experiment"),
@@ -78,6 +80,10 @@
                 .arg(nodes),
         )
         .subcommand(Command::new("limits").about("Overshoot and unfair refusals of divided limits"))
+        .subcommand(
+            Command::new("overload")
+                .about("Recovery of a chain of services from an overload, by retry rule"),
+        )
         .subcommand(
             Command::new("moves")
                 .about("Moves between versions against simpler ways")
