--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -360,7 +360,7 @@
         _ => {}
     }
     let (guard, received) = receive(guard, body, failure).await?;
-    sleep(work_time(&state, &script, guard.load)).await;
+    wait(work_time(&state, &script, guard.load)).await;
     match failure {
         Some(FailureKind::CloseBeforeHead) => Err(CallBroken),
         Some(FailureKind::Hang) => std::future::pending().await,
@@ -405,6 +405,13 @@
     Ok((guard, received.freeze()))
 }
 
+/// Waits; a timer would take a millisecond even for no time at all.
+async fn wait(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
+
 fn work_time(state: &TargetState, script: &TargetScript, load: u32) -> Duration {
     let cold = state.started.elapsed() < Duration::from_millis(script.cold_start_ms);
     let cold_ms = if cold { script.cold_latency_ms } else { 0 };
@@ -481,7 +488,7 @@
 async fn next_part(
     mut state: AnswerState,
 ) -> Option<(Result<Frame<Bytes>, CallBroken>, AnswerState)> {
-    sleep(take(&mut state.delay)).await;
+    wait(take(&mut state.delay)).await;
     let Some(part) = state.parts.pop_front() else {
         return state.broken.then_some((Err(CallBroken), state));
     };
--- a/tests/call_faults.rs
+++ b/tests/call_faults.rs
@@ -146,6 +146,8 @@
     for chunked in [false, true] {
         let mut script = failing(FailureKind::CloseInAnswer);
         script.chunked = chunked;
+        // More than the buffers on the way hold, so the head is on its way before the break.
+        script.answer_bytes = 20_000_000;
         let (nodes, targets) = two_nodes(&script).await;
         for index in 0..4 {
             let id = format!("a{index}");
--- a/tests/call_path.rs
+++ b/tests/call_path.rs
@@ -18,11 +18,13 @@
     poplarwing::{
         call_events::{BodyEnd, CallSide},
         config::MovePhase,
+        target_client::TargetAnnouncementBody,
         veto_table::VetoRecord,
     },
     poplarwing_standins::{
         caller::{CallerPlan, is_own_answer, run_plan, summarize},
         target::{
+            StandinTarget, TargetIdentity,
             record::CallStage,
             script::{AnswerHeader, FailureKind, FailureRule, TargetScript},
         },
@@ -30,7 +32,7 @@
     std::{net::SocketAddr, sync::atomic::Ordering},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
+        net::{TcpListener, TcpStream},
     },
 };
 
@@ -451,3 +453,44 @@
     );
     assert_eq!(not_ready.outcome(), Some("not-run"));
 }
+
+/// Guards against announcements that the node cannot read, and scripts that targets cannot.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_announces_itself_and_takes_its_script_by_http() {
+    let admin = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = admin.local_addr().expect("bound");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = StandinTarget::start(listener, TargetScript::default()).expect("bound");
+    let target_address = target.address();
+    let identity = TargetIdentity {
+        customer: "kestrel".to_owned(),
+        service: "yardboard".to_owned(),
+        version: "v1".to_owned(),
+    };
+    let script = r#"{"slots": 5, "reported_in_flight": 3, "draining": true}"#;
+    let replace = Request::post(format!("http://{target_address}/script"))
+        .body(whole_body(script))
+        .expect("a valid request");
+
+    let replaced = exchange(&client(), replace).await;
+    let announcing = tokio::spawn(async move { target.announce(address, identity).await });
+    let (mut stream, _) = admin.accept().await.expect("the target connects");
+    let mut text = String::new();
+    while !text.ends_with('}') {
+        let mut part = [0; 1024];
+        let read = stream
+            .read(&mut part)
+            .await
+            .expect("the announcement comes");
+        text.push_str(&String::from_utf8_lossy(&part[..read]));
+    }
+    announcing.abort();
+
+    assert_eq!(replaced.status, 204);
+    assert!(text.starts_with("POST /v1/targets HTTP/1.1"), "{text}");
+    let (_, body) = text.split_once("\r\n\r\n").expect("a body");
+    let announced: TargetAnnouncementBody = serde_json::from_str(body).expect("readable");
+    assert_eq!(announced.key(), service_key());
+    assert_eq!((announced.slots, announced.in_flight), (5, Some(3)));
+    assert!(announced.draining && announced.address == target_address);
+}
