Spread a veto that its issuer already holds

Cause: the move controller adds a veto to the node's table and then asks the gossip to spread it. The gossip spread only vetoes that were new to the same table, so no veto ever left its node. While the store was down the candidate kept its share on all nodes that had not found it bad themselves.

Stand-in targets can delay the answers of one route.

--- a/src/gossip/machine.rs
+++ b/src/gossip/machine.rs
@@ -299,7 +299,9 @@
     ) -> MachineOutput {
         truncate_text(&mut veto.reason, MAX_REASON_BYTES);
         let mut output = MachineOutput::default();
-        if tables.vetoes.add(veto.clone()) {
+        // The issuer may have added the veto to its table before.
+        tables.vetoes.add(veto.clone());
+        if tables.vetoes.holds(&veto) {
             self.enqueue(veto_event(&veto));
             self.push_random(tables, &mut output);
         }
--- a/src/veto_table.rs
+++ b/src/veto_table.rs
@@ -43,6 +43,12 @@
         true
     }
 
+    /// Returns whether the veto known for the service is against the same move.
+    pub fn holds(&self, veto: &VetoRecord) -> bool {
+        let known = self.vetoes.get(&veto.key);
+        known.is_some_and(|known| known.move_id == veto.move_id)
+    }
+
     /// Returns the veto against the candidate of a split's current move.
     pub fn against(&self, split: &TrafficSplit) -> Option<&VetoRecord> {
         let current = split.current_move.as_ref()?;
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -362,6 +362,10 @@
     let (guard, received) = receive(guard, body, failure).await?;
     sleep(work_time(&state, &script, guard.load)).await;
     match failure {
+        Some(FailureKind::Delay(delay_ms)) => {
+            sleep(Duration::from_millis(delay_ms)).await;
+            Ok(respond(guard, &script, failure, &call, &received))
+        }
         Some(FailureKind::CloseBeforeHead) => Err(CallBroken),
         Some(FailureKind::Hang) => std::future::pending().await,
         _ => Ok(respond(guard, &script, failure, &call, &received)),
--- a/standins/src/target/script.rs
+++ b/standins/src/target/script.rs
@@ -95,6 +95,8 @@
 pub enum FailureKind {
     /// The answer has this status.
     Status(u16),
+    /// The head of the answer comes this many milliseconds later.
+    Delay(u64),
     /// The connection is closed after the head of the request.
     CloseBeforeBody,
     /// The connection is closed in the middle of the request's body.
--- /dev/null
+++ b/tests/support/move_fixture.rs
@@ -0,0 +1,233 @@
+//! A fleet with a running move and callers that go on until they are stopped.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixture")]
+
+use {
+    crate::{
+        fleet_fixture::{TestFleet, wait_until},
+        fleet_targets::{
+            CALL_CONTRACT, PlacedTarget, all_runs, call_plan, place_target, wait_runs, wait_targets,
+        },
+    },
+    poplarwing::admin_types::{AuditAuthor, AuditEntry, AuditList},
+    poplarwing_standins::{
+        caller::{CallRecord, run_plan},
+        target::script::{FailureKind, FailureRule, TargetScript},
+    },
+    serde_json::Value,
+    std::time::Duration,
+    tokio::task::JoinHandle,
+    tokio_util::sync::CancellationToken,
+};
+
+/// Nodes of the fleet; half of them have targets of the stable version, half of the candidate.
+pub const NODES: usize = 4;
+
+/// Time within which a move is to finish.
+pub const FINISH_WITHIN: Duration = Duration::from_secs(30);
+
+/// Calls a second of each route; a good version needs about 600 calls to be trusted in the canary.
+const RATE: f64 = 200.0;
+
+/// Calls of each route in one wave; callers look between waves whether to stop.
+const WAVE: u64 = 100;
+
+/// Waves after which callers stop by themselves.
+const MAX_WAVES: u64 = 400;
+
+/// Runs in which a candidate that is out must not appear.
+const FURTHER_RUNS: usize = 200;
+
+/// A fleet with a move and its callers.
+pub struct MoveFleet {
+    /// The fleet.
+    pub fleet: TestFleet,
+    /// Targets of the stable version.
+    pub stable: Vec<PlacedTarget>,
+    /// Targets of the candidate.
+    pub candidate: Vec<PlacedTarget>,
+    stop: CancellationToken,
+    callers: Vec<JoinHandle<Vec<CallRecord>>>,
+}
+
+/// Returns the script of a healthy target, whose latencies are spread as those of real services are.
+pub fn healthy_script() -> TargetScript {
+    // One draw decides among all rules, so the bounds add up.
+    let delays = [(50, 20), (150, 12), (300, 8), (600, 4)];
+    let failures = delays.map(|(permille, delay_ms)| FailureRule {
+        permille,
+        ..FailureRule::always(FailureKind::Delay(delay_ms))
+    });
+    TargetScript {
+        latency_ms: 5,
+        failures: failures.into(),
+        ..TargetScript::default()
+    }
+}
+
+impl MoveFleet {
+    /// Starts a fleet, callers of two routes, and a move from v1 to v2.
+    pub async fn start(candidate_script: TargetScript) -> Self {
+        let fleet = TestFleet::start(NODES).await;
+        let contract = CALL_CONTRACT.replace("watch_for = 5s", "watch_for = 3s");
+        let version = fleet.apply_contract(0, &contract, 0).await;
+        fleet.wait_in_force(version).await;
+        let (mut stable, mut candidate) = (Vec::new(), Vec::new());
+        for node in 0..NODES / 2 {
+            stable.push(place_target(&fleet, node, "v1", healthy_script()).await);
+            let other = node + NODES / 2;
+            candidate.push(place_target(&fleet, other, "v2", candidate_script.clone()).await);
+        }
+        wait_targets(&fleet, NODES).await;
+        let stop = CancellationToken::new();
+        let callers = vec![
+            spawn_waves(&fleet, "GET", "/read", &stop),
+            spawn_waves(&fleet, "GET", "/survey", &stop),
+        ];
+        wait_runs(&stable, FURTHER_RUNS).await;
+        let moved = Self {
+            fleet,
+            stable,
+            candidate,
+            stop,
+            callers,
+        };
+        moved.start_version("v2").await;
+        moved
+    }
+
+    async fn start_version(&self, version: &str) {
+        let body = format!(
+            "{{\"customer\":\"kestrel\",\"service\":\"ledger\",\"version\":\"{version}\",\"finish_within_ms\":{}}}",
+            FINISH_WITHIN.as_millis()
+        );
+        let answer = self.fleet.api(0, "POST", "/v1/moves", &body).await;
+        let answer = answer.expect("the node answers");
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
+    /// Returns the state of the service's versions as a node sees it.
+    pub async fn view(&self, node: usize) -> Value {
+        let path = "/v1/moves/kestrel/ledger";
+        let answer = self.fleet.api(node, "GET", path, "").await;
+        answer.map(|answer| answer.body).unwrap_or_default()
+    }
+
+    /// Waits until a node sees the move in a phase.
+    pub async fn wait_phase(&self, node: usize, phase: &str) {
+        let what = format!("node {node} sees the move in the phase {phase}");
+        wait_until(&what, async || {
+            let view = self.view(node).await;
+            assert_ne!(
+                (view["current_move"]["phase"].as_str(), phase),
+                (Some("taken_back"), "done"),
+                "{view}"
+            );
+            view["current_move"]["phase"] == phase
+        })
+        .await;
+    }
+
+    /// Waits until the candidate has a share of at least so many per mille on a node.
+    pub async fn wait_share(&self, node: usize, permille: u64) {
+        let what = format!("the candidate has a share of {permille} per mille");
+        wait_until(&what, async || {
+            let view = self.view(node).await;
+            view["candidate_permille"].as_u64() >= Some(permille)
+        })
+        .await;
+    }
+
+    /// Waits until each of these nodes gives the candidate no calls, by a veto or a step.
+    pub async fn wait_excluded(&self, nodes: &[usize]) {
+        for node in nodes {
+            let what = format!("node {node} gives the candidate no calls");
+            wait_until(&what, async || {
+                let view = self.view(*node).await;
+                let taken_back = view["current_move"]["phase"] == "taken_back";
+                taken_back || !view["veto"].is_null()
+            })
+            .await;
+        }
+    }
+
+    /// Returns the runs of the candidate.
+    pub fn exposed(&self) -> usize {
+        all_runs(&self.candidate).len()
+    }
+
+    /// Returns the runs of both versions.
+    pub fn runs(&self) -> usize {
+        self.exposed() + all_runs(&self.stable).len()
+    }
+
+    /// Waits until the stable version has run so many further calls.
+    pub async fn wait_further(&self, count: usize) {
+        wait_runs(&self.stable, all_runs(&self.stable).len() + count).await;
+    }
+
+    /// Returns the candidate's runs among further calls, after the calls under way have ended.
+    pub async fn late_runs(&self) -> usize {
+        self.wait_further(FURTHER_RUNS / 4).await;
+        let before = self.exposed();
+        self.wait_further(FURTHER_RUNS).await;
+        self.exposed() - before
+    }
+
+    /// Returns the audit records as a node gives them.
+    pub async fn audit(&self, node: usize) -> Vec<AuditEntry> {
+        let path = "/v1/audit?from=1&limit=100";
+        let answer = self.fleet.api(node, "GET", path, "").await;
+        let body = answer.expect("the node answers").body;
+        let list: AuditList = serde_json::from_value(body).expect("audit records");
+        list.records
+    }
+
+    /// Returns the node that wrote the latest step of the move.
+    pub async fn holder(&self, node: usize) -> usize {
+        let records = self.audit(node).await;
+        let latest = records
+            .iter()
+            .rev()
+            .find_map(|record| match &record.author {
+                AuditAuthor::Controller(name) => Some(name.clone()),
+                AuditAuthor::Operator(_) => None,
+            });
+        let name = latest.expect("a controller wrote a step");
+        let nodes = &self.fleet.nodes;
+        let found = (0..nodes.len()).find(|index| nodes.id(*index) == name);
+        found.expect("the controller is a node of the fleet")
+    }
+
+    /// Stops the callers and returns their calls.
+    pub async fn stop_callers(&mut self) -> Vec<CallRecord> {
+        self.stop.cancel();
+        let mut records = Vec::new();
+        for caller in self.callers.drain(..) {
+            records.extend(caller.await.unwrap());
+        }
+        records
+    }
+}
+
+fn spawn_waves(
+    fleet: &TestFleet,
+    method: &str,
+    path: &str,
+    stop: &CancellationToken,
+) -> JoinHandle<Vec<CallRecord>> {
+    let plan = call_plan(fleet, method, path, RATE, WAVE);
+    let stop = stop.clone();
+    tokio::spawn(async move {
+        let mut records = Vec::new();
+        for wave in 0..MAX_WAVES {
+            if stop.is_cancelled() {
+                break;
+            }
+            let mut plan = plan.clone();
+            plan.id_prefix = format!("{}{wave}-", plan.id_prefix);
+            records.extend(run_plan(plan).await.expect("a valid plan"));
+        }
+        records
+    })
+}
