--- a/tests/support/fleet_fixture.rs
+++ b/tests/support/fleet_fixture.rs
@@ -18,7 +18,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Time after which a condition that does not hold counts as a failure; far above any time expected.
@@ -77,13 +77,46 @@
     pub body: Value,
 }
 
+/// Client of the operator API; cheap to clone.
+#[derive(Clone)]
+pub struct ApiClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl ApiClient {
+    /// Sends a request to an admin address; none if it cannot be reached.
+    pub async fn send(
+        &self,
+        admin: SocketAddr,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<ApiAnswer> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{admin}{path}"))
+            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("a valid request");
+        let answer = timeout(PATIENCE, self.client.request(request)).await;
+        let answer = answer.ok()?.ok()?;
+        let status = answer.status().as_u16();
+        let content = answer.into_body().collect().await.ok()?.to_bytes();
+        Some(ApiAnswer {
+            status,
+            body: serde_json::from_slice(&content).unwrap_or(Value::Null),
+        })
+    }
+}
+
 /// A platform stand-in and node processes.
 pub struct TestFleet {
     /// Node processes.
     pub nodes: NodeFleet,
     /// The platform.
     pub platform: PlatformStandin,
-    client: Client<HttpConnector, Full<Bytes>>,
+    /// Client of the operator API.
+    pub client: ApiClient,
 }
 
 impl TestFleet {
@@ -104,7 +137,9 @@
         let fleet = Self {
             nodes,
             platform,
-            client: Client::builder(TokioExecutor::new()).build_http(),
+            client: ApiClient {
+                client: Client::builder(TokioExecutor::new()).build_http(),
+            },
         };
         for index in 0..count {
             let deadline = Instant::now() + PATIENCE;
@@ -128,20 +163,8 @@
         path: &str,
         body: &str,
     ) -> Option<ApiAnswer> {
-        let admin: SocketAddr = self.nodes.addresses(index).admin;
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{admin}{path}"))
-            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
-            .body(Full::new(Bytes::from(body.to_owned())))
-            .expect("a valid request");
-        let answer = self.client.request(request).await.ok()?;
-        let status = answer.status().as_u16();
-        let content = answer.into_body().collect().await.ok()?.to_bytes();
-        Some(ApiAnswer {
-            status,
-            body: serde_json::from_slice(&content).unwrap_or(Value::Null),
-        })
+        let admin = self.nodes.addresses(index).admin;
+        self.client.send(admin, method, path, body).await
     }
 
     /// Returns the status of a node, or none if it cannot be reached.
