Give each service a retry budget of its own

Cause: with one budget for all services of a node, a service that is down used up the retries of the others. Change: BudgetTable keeps a budget for each service called. Figures: the new test fails by construction with a shared budget and passes. Conclusion: retries of one service no longer depend on another's health.

--- a/src/call_proxy.rs
+++ b/src/call_proxy.rs
@@ -24,7 +24,7 @@
         blackboard::Blackboard,
         call_events::{BodyEnd, CallEnd, CallHooks, CallNumber, CallRefusal, CallSide},
         forward_server::{TargetCall, admission::ShareCache},
-        retry_budget::RetryBudget,
+        retry_budget::BudgetTable,
         settings::NodeSettings,
         target_client::LocalTarget,
     },
@@ -75,7 +75,7 @@
     /// Exchanges in progress.
     pub exchanges: TaskTracker,
     pub(crate) shares: ShareCache,
-    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) budgets: Mutex<BudgetTable>,
     pub(crate) client: Client<HttpConnector, ExchangeBody>,
     calls: AtomicU64,
 }
@@ -98,7 +98,7 @@
             drain_grace: DRAIN_GRACE,
             exchanges: TaskTracker::new(),
             shares: ShareCache::default(),
-            budget: Mutex::new(RetryBudget::new(Instant::now())),
+            budgets: Mutex::new(BudgetTable::default()),
             client: forward_client(),
             calls: AtomicU64::new(0),
         }
--- a/src/call_proxy/attempt.rs
+++ b/src/call_proxy/attempt.rs
@@ -116,7 +116,7 @@
 {
     let mut history = AttemptHistory::default();
     let draw = rand::rng().random_range(0..FULL_SHARE_PERMILLE);
-    context.budget.lock().earn(Instant::now());
+    context.budgets.lock().earn(&call.key, Instant::now());
     loop {
         let choice = choose(context, call, draw, &history);
         let (Some(choice), Some(attempt_body)) = (choice, body.next_attempt()) else {
@@ -189,7 +189,7 @@
         && now < call.deadline
         && choose(context, call, draw, history).is_some()
         // A request that met a closed connection never left this node, so sending it is no retry.
-        && (failed.is_stale() || context.budget.lock().spend(failed.fate, now))
+        && (failed.is_stale() || context.budgets.lock().spend(&call.key, failed.fate, now))
 }
 
 fn fate_of(refusal: &CallRefusal) -> AttemptFate {
--- a/src/retry_budget.rs
+++ b/src/retry_budget.rs
@@ -1,8 +1,12 @@
 //! Retry tokens and the rule for what may be tried again.
 
 use {
+    crate::config::ServiceKey,
     derive_more::Display,
-    std::time::{Duration, Instant},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Retry tokens earned by each call.
@@ -89,3 +93,31 @@
         self.tokens = (self.tokens + earned).min(MAX_TOKENS);
     }
 }
+
+/// Budgets of the services that a node calls, so that a service that is down uses up no retries of others.
+///
+/// Invariant: there is at most one budget for each service of the configuration that was ever called.
+#[derive(Debug, Default)]
+pub struct BudgetTable {
+    budgets: HashMap<ServiceKey, RetryBudget>,
+}
+
+impl BudgetTable {
+    /// Earns tokens for the first attempt of a call to a service.
+    pub fn earn(&mut self, key: &ServiceKey, now: Instant) {
+        match self.budgets.get_mut(key) {
+            Some(budget) => budget.earn(now),
+            None => {
+                let mut budget = RetryBudget::new(now);
+                budget.earn(now);
+                self.budgets.insert(key.clone(), budget);
+            }
+        }
+    }
+
+    /// Takes the tokens for a retry of a call to a service; returns whether there was one.
+    pub fn spend(&mut self, key: &ServiceKey, fate: AttemptFate, now: Instant) -> bool {
+        let budget = self.budgets.get_mut(key);
+        budget.is_some_and(|budget| budget.spend(fate, now))
+    }
+}
--- a/tests/call_rules.rs
+++ b/tests/call_rules.rs
@@ -22,10 +22,10 @@
             body::{BodyError, KEPT_PREFIX_BYTES, ReplayBuffer},
             headers::{HopRecord, parse_refusal, refusal_response, strip_headers},
         },
-        config::{CallLimits, MovePhase},
+        config::{CallLimits, MovePhase, ServiceKey},
         limit_share::{LimitScope, LimitTable, NodeDemand, share_of, whole_shares},
         membership::TargetEndpoint,
-        retry_budget::{AttemptFate, RetryBudget, may_repeat},
+        retry_budget::{AttemptFate, BudgetTable, RetryBudget, may_repeat},
         route_table::{
             AttemptEnd, LoadTable, TargetReason, VersionReason, choose_target, choose_version,
             concentrate, fallback_version, is_ambiguous_path,
@@ -193,6 +193,27 @@
     });
 }
 
+/// Guards against a service that is down and uses up the retries of others.
+#[test]
+fn each_service_has_a_retry_budget_of_its_own() {
+    let mut table = BudgetTable::default();
+    let now = Instant::now();
+    let (down, other) = (
+        plan().service.key,
+        ServiceKey {
+            customer: "kestrel".to_owned(),
+            service: "other".to_owned(),
+        },
+    );
+    table.earn(&down, now);
+    table.earn(&other, now);
+
+    while table.spend(&down, AttemptFate::NotRun, now) {}
+
+    assert!(!table.spend(&down, AttemptFate::NotRun, now));
+    assert!(table.spend(&other, AttemptFate::NotRun, now));
+}
+
 /// Guards against a call that may not repeat and yet is sent again.
 #[test]
 fn only_idempotent_calls_repeat_once_they_may_have_run() {
