--- a/experiments/src/main.rs
+++ b/experiments/src/main.rs
@@ -23,6 +23,7 @@
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("control", arguments)) => return finish(control::run(nodes_of(arguments))),
+        Some(("services", _)) => return finish(control::run_services()),
         Some(("convergence", arguments)) => return finish(convergence::run(nodes_of(arguments))),
         Some(("latency", _)) => return finish(latency::run()),
         Some(("storm", arguments)) => return finish(storm::run(nodes_of(arguments))),
@@ -66,6 +67,10 @@
                 .about("Control bytes, processor time and memory of node processes")
                 .arg(nodes.clone()),
         )
+        .subcommand(
+            Command::new("services")
+                .about("The same as `control`, over the number of services in the configuration"),
+        )
         .subcommand(
             Command::new("convergence")
                 .about("Time from acceptance until in force on all node processes")
