Let a joining node wait for its peers before it loads the configuration

A node now waits a random time of up to 4 s for a peer to deliver it.

Tried and not kept: one runtime thread instead of two.

--- a/src/node.rs
+++ b/src/node.rs
@@ -24,6 +24,7 @@
         domain_reader::{DomainReader, READER_PERIOD},
         forward_server::serve_forwards,
         gossip::GossipNode,
+        ids::ConfigVersion,
         join::{FloorSource, find_floor},
         node_metrics::{MetricsError, NodeMetrics},
         once_record::OnceRecorder,
@@ -42,6 +43,7 @@
         net::{TcpListener, UdpSocket},
         sync::Mutex,
         task::JoinSet,
+        time::timeout,
     },
     tokio_util::sync::CancellationToken,
     tracing::{info, warn},
@@ -65,6 +67,12 @@
 /// Time between two removals of idempotency records whose calls did not run.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 
+/// Longest random wait for a peer to give the head's configuration before a node loads it itself.
+///
+/// When a fleet starts as a whole, no peer has it yet. The first node that loads it spreads it within
+/// about a second, so most nodes need not load it from the store.
+const LOAD_JITTER: Duration = Duration::from_secs(4);
+
 /// A node that could not start.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -279,10 +287,21 @@
         "floor found"
     );
     if outcome.source == FloorSource::Store && parts.board.gate.version() < outcome.floor {
-        load_head(parts).await;
+        let wait = wait_for_peers(parts, outcome.floor);
+        if cancel.run_until_cancelled(wait).await == Some(false) {
+            load_head(parts).await;
+        }
     }
 }
 
+/// Waits a random time for a version at or above the floor to come from a peer; returns whether it did.
+async fn wait_for_peers(parts: &NodeParts, floor: ConfigVersion) -> bool {
+    let mut applied = parts.board.gate.subscribe();
+    let longest = LOAD_JITTER.mul_f64(rand::random::<f64>());
+    let arrived = timeout(longest, applied.wait_for(|version| *version >= floor)).await;
+    arrived.is_ok()
+}
+
 /// Loads the configuration that no peer could give, so that a fleet that starts as a whole need not wait
 /// for the leases of its readers.
 async fn load_head(parts: &NodeParts) {
