Spread the joins' reads of the store over a setting

Cause: joining nodes read the store's head within 0.5 s of each other; half of the fleet at once would need about 15,000 reads a second. Change: setting join_spread (default 4 s) delays the first read of the head and the load of the configuration; peers are asked after 0.5 s as before. Conclusion: 6,400 nodes at once read 1,600 heads a second on average; a single restart waits 2 s longer on average. A read shared by all joiners of a failure domain would avoid both.

--- a/experiments/src/node_group.rs
+++ b/experiments/src/node_group.rs
@@ -47,6 +47,9 @@
 /// Time between a start of the fleet and a measurement, in which the events of the start are passed on.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
+/// Spread of the joins; the default of the settings.
+const JOIN_SPREAD: Duration = Duration::from_secs(4);
+
 /// Port of targets that are announced but never called.
 const UNUSED_PORT: u16 = 9;
 
@@ -87,6 +90,7 @@
             platform: platform.address(),
             // Refusals are logged at `info`; the probes of `convergence` are refusals.
             log_level: "error".to_owned(),
+            join_spread: JOIN_SPREAD,
         };
         let mut group = Self {
             nodes: NodeFleet::new(&plan)?,
--- a/experiments/src/simulated_net.rs
+++ b/experiments/src/simulated_net.rs
@@ -185,6 +185,7 @@
         probe_timeout: Duration::from_millis(300),
         push_fanout,
         join_quorum: 3,
+        join_spread: Duration::ZERO,
     }
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -60,6 +60,7 @@
 
 [gossip]
 seeds = 127.20.1.1:7002, 127.20.1.2:7002, 127.20.1.3:7002
+join_spread = 200ms
 
 [log]
 level = info
--- a/src/join.rs
+++ b/src/join.rs
@@ -266,6 +266,7 @@
     F: Future<Output = Result<ConfigVersion, E>>,
     E: std::fmt::Display,
 {
+    sleep(random_part(settings.gossip.join_spread)).await;
     let patience = settings.platform.request_timeout;
     let mut pause = MIN_PAUSE;
     loop {
--- a/src/node.rs
+++ b/src/node.rs
@@ -69,12 +69,6 @@
 /// Time between two removals of idempotency records whose calls did not run.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 
-/// Longest random wait for a peer to give the head's configuration before a node loads it itself.
-///
-/// When a fleet starts as a whole, no peer has it yet. The first node that loads it spreads it within
-/// about a second, so most nodes need not load it from the store.
-const LOAD_JITTER: Duration = Duration::from_secs(4);
-
 /// A node that could not start.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -302,9 +296,13 @@
 }
 
 /// Waits a random time for a version at or above the floor to come from a peer; returns whether it did.
+///
+/// When a fleet starts as a whole, no peer has it yet. The first node that loads it spreads it within
+/// about a second, so most nodes need not load it from the store.
 async fn wait_for_peers(parts: &NodeParts, floor: ConfigVersion) -> bool {
     let mut applied = parts.board.gate.subscribe();
-    let longest = LOAD_JITTER.mul_f64(rand::random::<f64>());
+    let longest = parts.settings.gossip.join_spread;
+    let longest = longest.mul_f64(rand::random::<f64>());
     let arrived = timeout(longest, applied.wait_for(|version| *version >= floor)).await;
     arrived.is_ok()
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -43,6 +43,9 @@
 /// Default of `join_quorum`.
 const DEFAULT_JOIN_QUORUM: usize = 3;
 
+/// Default of `join_spread`: the heads that 6,400 nodes read when they all start fit into 1,600 reads a second.
+const DEFAULT_JOIN_SPREAD: Duration = Duration::from_secs(4);
+
 /// Default of `level`.
 const DEFAULT_LEVEL: &str = "info";
 
@@ -122,6 +125,8 @@
     pub push_fanout: usize,
     /// Peers that must answer at start when the store does not.
     pub join_quorum: usize,
+    /// Longest random delay at start before the node reads the store's head.
+    pub join_spread: Duration,
 }
 
 /// What a node logs.
@@ -314,6 +319,11 @@
         &number_rule(1..=100, "peers"),
         DEFAULT_JOIN_QUORUM,
     );
+    let join_spread = reader.or_default(
+        "join_spread",
+        &duration_rule(Duration::ZERO..=Duration::from_secs(60)),
+        DEFAULT_JOIN_SPREAD,
+    );
     if let (Some(interval), Some(timeout)) = (probe_interval, probe_timeout)
         && timeout >= interval
     {
@@ -327,6 +337,7 @@
         probe_timeout: probe_timeout?,
         push_fanout: push_fanout?,
         join_quorum: join_quorum?,
+        join_spread: join_spread?,
     })
 }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -85,6 +85,8 @@
     pub platform: SocketAddr,
     /// Log filter of the nodes.
     pub log_level: String,
+    /// Longest random delay of a node before it reads the store's head at its start.
+    pub join_spread: Duration,
 }
 
 /// Addresses of one node.
@@ -312,7 +314,7 @@
          [platform]\ntable_endpoint = http://{platform}\ntable = poplarwing\n\
          object_endpoint = http://{platform}\nbucket = poplarwing\n\
          signing_region = loopback\naccess_key_id = KEY\nsecret_access_key = SECRET\n\n\
-         [gossip]\nseeds = {seeds}\n\n\
+         [gossip]\nseeds = {seeds}\njoin_spread = {join_spread_ms}ms\n\n\
          [log]\nlevel = {level}\ncall_sample = 1%\n\n\
          [operators]\n{OPERATOR_NAME} = {OPERATOR_TOKEN}\n",
         id = node.id,
@@ -322,6 +324,7 @@
         admin = own.admin,
         platform = plan.platform,
         level = plan.log_level,
+        join_spread_ms = plan.join_spread.as_millis(),
     )
 }
 
--- a/tests/call_support/cluster.rs
+++ b/tests/call_support/cluster.rs
@@ -175,6 +175,7 @@
             probe_timeout: Duration::from_millis(300),
             push_fanout: 4,
             join_quorum: 3,
+            join_spread: Duration::ZERO,
         },
         log: LogSection {
             level: "info".to_owned(),
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -177,6 +177,7 @@
             probe_timeout: Duration::from_millis(30),
             push_fanout: 4,
             join_quorum: 3,
+            join_spread: Duration::ZERO,
         },
         log: LogSection {
             level: "info".to_owned(),
--- a/tests/support/fleet_fixture.rs
+++ b/tests/support/fleet_fixture.rs
@@ -134,6 +134,7 @@
             nodes: count,
             platform: platform.address(),
             log_level: "info".to_owned(),
+            join_spread: Duration::from_millis(200),
         };
         let mut nodes = NodeFleet::new(&plan).expect("free loopback addresses");
         nodes.start_all().expect("the daemon was built");
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -69,6 +69,7 @@
             probe_timeout: Duration::from_millis(300),
             push_fanout: 4,
             join_quorum: 3,
+            join_spread: Duration::ZERO,
         },
         log: LogSection {
             level: "info".to_owned(),
