Spread the joins of a mass restart over 4 s

Each join reads the head once; spread over 0.5 s, 6,400 joins are 12,800 reads a second, and the store bears 2,000.

A single restart takes 1.75 s longer on average. Spread over 4 s, 6,400 joins are 1,600 reads a second.

--- a/src/join.rs
+++ b/src/join.rs
@@ -25,7 +25,10 @@
 };
 
 /// Longest random delay before a node joins; spreads the joins after a mass restart.
-const JOIN_JITTER: Duration = Duration::from_millis(500);
+///
+/// Each join reads the head of the store once. 6,400 joins in 4 s are 1,600 reads a second, below the 2,000
+/// that the store bears.
+const JOIN_JITTER: Duration = Duration::from_secs(4);
 
 /// Peers asked at once by one joining node.
 const ASKS_AT_ONCE: usize = 3;
