Check long failures of the store

Cause: no test ran calls, targets and restarts of nodes through a failure of the store.

Change: with a store that is down, throttles or is slower than the nodes wait, calls without keys go on, keyed calls and changes are refused, a target comes, another goes, and a killed node comes back; afterwards keyed calls and changes work again.

--- /dev/null
+++ b/tests/fleet_store.rs
@@ -0,0 +1,164 @@
+//! A fleet of real node processes whose store is down, throttled or slow for long.
+
+#[path = "support/call_history.rs"]
+mod call_history;
+#[path = "support/fleet_fixture.rs"]
+mod fleet_fixture;
+#[path = "support/fleet_targets.rs"]
+mod fleet_targets;
+#[path = "support/operator_race.rs"]
+mod operator_race;
+#[path = "support/version_history.rs"]
+mod version_history;
+
+use {
+    call_history::{assert_once_only, assert_truthful, count_refusals, count_successes},
+    fleet_fixture::{TestFleet, wait_until},
+    fleet_targets::{
+        CALL_CONTRACT, PlacedTarget, all_runs, call_plan, place_target, spawn_plan, wait_idle,
+        wait_targets,
+    },
+    operator_race::send_contract,
+    poplarwing_standins::{
+        caller::{CallRecord, CallerPlan},
+        platform::FaultPlan,
+        target::script::TargetScript,
+    },
+    std::net::SocketAddr,
+    version_history::{
+        ContractEnd, VersionWatch, audit_gaps, falling_versions, partial_views, read_audit,
+        unexplained_contracts,
+    },
+};
+
+/// Calls of each kind while the store fails.
+const CALLS: u64 = 200;
+
+/// Body of a request to start a move.
+const MOVE: &str = r#"{"customer":"kestrel","service":"ledger","version":"v2"}"#;
+
+fn keyed_plan(fleet: &TestFleet, id_prefix: &str) -> CallerPlan {
+    let mut plan = call_plan(fleet, "POST", "/record", 50.0, 40);
+    plan.key_prefix = Some("key-".to_owned());
+    plan.id_prefix = id_prefix.to_owned();
+    plan
+}
+
+async fn place(fleet: &TestFleet, node: usize) -> PlacedTarget {
+    place_target(fleet, node, "v1", TargetScript::default()).await
+}
+
+/// Sends calls that need no store; all must succeed.
+async fn check_calls(fleet: &TestFleet, targets: &[PlacedTarget], round: &str) {
+    let mut orders = call_plan(fleet, "POST", "/order", 200.0, CALLS);
+    orders.id_prefix = format!("order-{round}-");
+    let mut reads = call_plan(fleet, "GET", "/read", 200.0, CALLS);
+    reads.id_prefix = format!("read-{round}-");
+    let (orders, reads) = (spawn_plan(orders), spawn_plan(reads));
+    let (orders, reads) = (orders.await.unwrap(), reads.await.unwrap());
+    wait_idle(targets).await;
+    let runs_of = |records: &[CallRecord]| {
+        let runs = all_runs(targets).into_iter();
+        runs.filter(|run| records.iter().any(|record| record.id == run.call))
+            .collect::<Vec<_>>()
+    };
+    assert_once_only(&orders, &runs_of(&orders));
+    assert_truthful(&reads, &runs_of(&reads));
+    assert_eq!(count_successes(&orders), orders.len(), "{round}");
+    assert_eq!(count_successes(&reads), reads.len(), "{round}");
+}
+
+async fn check_outage(plan: FaultPlan) {
+    let mut fleet = TestFleet::start(5).await;
+    let version = fleet.apply_contract(0, CALL_CONTRACT, 0).await;
+    fleet.wait_in_force(version).await;
+    let mut targets = vec![place(&fleet, 2).await, place(&fleet, 3).await];
+    wait_targets(&fleet, 2).await;
+    let nodes = 0..fleet.nodes.len();
+    let admins: Vec<SocketAddr> = nodes
+        .map(|index| fleet.nodes.addresses(index).admin)
+        .collect();
+    let watch = VersionWatch::start(&fleet.client, admins.clone());
+    fleet.platform.set_faults(plan);
+
+    // Calls go on, and nothing that needs the store is accepted or run.
+    check_calls(&fleet, &targets, "first").await;
+    let refused = spawn_plan(keyed_plan(&fleet, "refused-")).await.unwrap();
+    let mut sent = vec![send_contract(&fleet.client, admins[1], "vanderhaegen", 10_000).await];
+    let started = fleet.api(2, "POST", "/v1/moves", MOVE).await.unwrap();
+
+    // Targets come and go, and a node that was killed comes back.
+    targets.push(place(&fleet, 4).await);
+    wait_targets(&fleet, 3).await;
+    targets[0].target.stop();
+    wait_targets(&fleet, 2).await;
+    fleet.nodes.kill(1).expect("the node runs");
+    fleet.nodes.start(1).expect("the node starts again");
+    wait_until("node 1 has the version again", async || {
+        fleet.version_of(1).await == Some(version)
+    })
+    .await;
+    wait_targets(&fleet, 2).await;
+    check_calls(&fleet, &targets, "second").await;
+    for index in 0..fleet.nodes.len() {
+        assert_eq!(fleet.version_of(index).await, Some(version));
+    }
+
+    // All works again.
+    fleet.platform.set_faults(FaultPlan::default());
+    let keyed = spawn_plan(keyed_plan(&fleet, "accepted-")).await.unwrap();
+    let last = send_contract(&fleet.client, admins[1], "vanderhaegen", 10_001).await;
+    let ContractEnd::Accepted { version, .. } = last.end else {
+        panic!("{last:?}");
+    };
+    sent.push(last);
+    fleet.wait_in_force(version).await;
+    wait_idle(&targets).await;
+    let samples = watch.stop().await;
+    let records = read_audit(&fleet.client, admins[0]).await;
+
+    assert_eq!(count_refusals(&refused), refused.len());
+    let refused_runs = all_runs(&targets)
+        .into_iter()
+        .filter(|run| run.call.starts_with("refused-"));
+    assert_eq!(refused_runs.count(), 0);
+    assert!(matches!(sent[0].end, ContractEnd::Refused(_)), "{sent:?}");
+    assert_eq!(started.status, 503, "{}", started.body);
+    assert_eq!(count_successes(&keyed), keyed.len());
+    let nothing = Vec::<String>::new();
+    assert_eq!(falling_versions(&samples), nothing);
+    assert_eq!(audit_gaps(&records), nothing);
+    assert_eq!(unexplained_contracts(&sent, &records[1..]), nothing);
+    assert_eq!(partial_views(&samples, &records), nothing);
+}
+
+/// Guards against calls, targets or restarts that need a store that is down, and against changes that are
+/// accepted meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_go_on_and_nothing_is_accepted_while_the_store_is_down() {
+    check_outage(FaultPlan {
+        down: true,
+        ..FaultPlan::default()
+    })
+    .await;
+}
+
+/// Guards against the same with a store that refuses every request.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_go_on_and_nothing_is_accepted_while_the_store_throttles() {
+    check_outage(FaultPlan {
+        throttled: true,
+        ..FaultPlan::default()
+    })
+    .await;
+}
+
+/// Guards against the same with a store that answers later than nodes wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_go_on_and_nothing_is_accepted_while_the_store_is_slow() {
+    check_outage(FaultPlan {
+        delay_ms: 5000,
+        ..FaultPlan::default()
+    })
+    .await;
+}
--- a/tests/support/operator_race.rs
+++ b/tests/support/operator_race.rs
@@ -1,5 +1,7 @@
 //! Operators that change contracts at the same time through different nodes.
 
+#![allow(dead_code, reason = "each test file uses a part of the operators")]
+
 use {
     crate::{
         fleet_fixture::{ApiAnswer, ApiClient},
