Refuse a keyed call at its deadline while the store is slow

Cause: the record of a key was written with up to four attempts of several seconds each, without regard to the deadline of the call. A call with a deadline of 10 s was refused after 16 s.

Change: the entry node waits for the record until the deadline and then refuses the call with status 504, reason deadline and outcome not-run. A begin that is dropped midway was already handed to the recorder, which removes the record later.

--- a/src/call_proxy.rs
+++ b/src/call_proxy.rs
@@ -46,7 +46,10 @@
         task::{Context, Poll},
         time::{Duration, Instant},
     },
-    tokio::{net::TcpListener, time::timeout},
+    tokio::{
+        net::TcpListener,
+        time::{timeout, timeout_at},
+    },
     tokio_util::{
         sync::CancellationToken,
         task::{TaskTracker, task_tracker::TaskTrackerToken},
@@ -287,9 +290,16 @@
     let Some(keyed) = &call.keyed else {
         return Ok(None);
     };
-    let start = match &context.keyed {
-        Some(hooks) => (hooks.begin)(keyed.clone()).await,
-        None => KeyedStart::Unavailable("this node keeps no records of keys".to_owned()),
+    // A begin that is dropped midway leaves its record to the recorder, which removes it later.
+    let begun = match &context.keyed {
+        Some(hooks) => timeout_at(call.deadline.into(), (hooks.begin)(keyed.clone())).await,
+        None => Ok(KeyedStart::Unavailable(
+            "this node keeps no records of keys".to_owned(),
+        )),
+    };
+    let Ok(start) = begun else {
+        let message = "record the idempotency key: the deadline passed before the store answered";
+        return Err(stopped(CallRefusal::not_run(504, "deadline", message)));
     };
     match start {
         KeyedStart::Run(ticket) => Ok(Some(ticket)),
@@ -297,12 +307,15 @@
         KeyedStart::Unavailable(cause) => {
             let message = format!("record the idempotency key: {cause}");
             let refusal = CallRefusal::not_run(503, "key-record-unavailable", message);
-            let response = headers::refusal_response(&refusal);
-            Err(Box::new((response, Some(refusal))))
+            Err(stopped(refusal))
         }
     }
 }
 
+fn stopped(refusal: CallRefusal) -> KeyedStop {
+    Box::new((headers::refusal_response(&refusal), Some(refusal)))
+}
+
 /// Removes the record of a keyed call that was not run; any other record stays as it is.
 fn settle_refused(context: &CallContext, ticket: Option<KeyedTicket>, refusal: &CallRefusal) {
     let Some(ticket) = ticket else {
