--- a/tests/support/move_fixture.rs
+++ b/tests/support/move_fixture.rs
@@ -118,10 +118,11 @@
         let what = format!("node {node} sees the move in the phase {phase}");
         wait_until(&what, async || {
             let view = self.view(node).await;
+            let current = &view["current_move"];
             assert_ne!(
-                (view["current_move"]["phase"].as_str(), phase),
+                (current["phase"].as_str(), phase),
                 (Some("taken_back"), "done"),
-                "{view}"
+                "{current}"
             );
             view["current_move"]["phase"] == phase
         })
