--- a/src/call_proxy.rs
+++ b/src/call_proxy.rs
@@ -44,7 +44,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, time::timeout_at},
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -227,12 +227,15 @@
 
     /// Runs a call under its idempotency key.
     async fn run_under_key(mut self, keyed: KeyedCall) -> Response<ExchangeBody> {
-        let ticket = match begin_keyed(self.context.keyed.as_ref(), keyed).await {
-            Ok(KeyedBegin::First(ticket)) => ticket,
-            Ok(KeyedBegin::Answered(kept)) => {
+        let begin = begin_keyed(self.context.keyed.as_ref(), keyed);
+        // A begin that is dropped midway leaves its record to the recorder, which removes it later.
+        let ticket = match timeout_at(self.call.deadline.into(), begin).await {
+            Ok(Ok(KeyedBegin::First(ticket))) => ticket,
+            Ok(Ok(KeyedBegin::Answered(kept))) => {
                 return give_answer(self.progress, kept, self.call.deadline);
             }
-            Err(refusal) => return give_refusal(self.progress, refusal),
+            Ok(Err(refusal)) => return give_refusal(self.progress, refusal),
+            Err(_) => return give_refusal(self.progress, late_record(&self.call)),
         };
         let answered = match Instant::now() < self.call.deadline {
             true => self.attempt().await,
