Refuse moves that are too short for any evidence

Cause: good_version_takes_over failed in each run since the verdict gains evidence at a limited rate: with 30 s for the move its last step lasted 4.5 s, and 8 s are needed. Every such move was taken back. Conclusion: an impossible time is refused with what is allowed.

--- a/src/contract.rs
+++ b/src/contract.rs
@@ -33,8 +33,11 @@
 const MAX_BODY_BYTES: u64 = 64 << 30;
 
 /// Allowed times for a version to take over.
+///
+/// The verdict gains evidence at a limited rate, so that a short disturbance proves nothing. Below a minute
+/// the last step before the takeover is too short for any verdict, and every move would be taken back.
 pub const FINISH_RANGE: RangeInclusive<Duration> =
-    Duration::from_secs(1)..=Duration::from_secs(7 * 86_400);
+    Duration::from_secs(60)..=Duration::from_secs(7 * 86_400);
 
 /// Allowed times for watching a version after it took over.
 const WATCH_RANGE: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(86_400);
--- a/tests/contract_parse.rs
+++ b/tests/contract_parse.rs
@@ -200,6 +200,7 @@
 watch_for => canary_share = 0%\nwatch_for => 14: [move ledger] canary_share: found "0%"; allowed
 watch_for => canary_share = 5\nwatch_for => 14: [move ledger] canary_share: found "5"; allowed
 watch_for => canary_share = .5%\nwatch_for => 14: [move ledger] canary_share: found ".5%"; allowed
+finish_within = 10m => finish_within = 59s => 13: [move ledger] finish_within: found "59s"; allowed: a duration
 finish_within = 10m => finish_within = 8d => 13: [move ledger] finish_within: found "8d"; allowed: a duration
 ledger.example => Ledger_1 => 5: [service ledger] host: found "Ledger_1"; allowed: a host name
 = v1 => = v/1 => 6: [service ledger] initial_version: found "v/1"; allowed: 1 to 63
