--- a/tests/support/fleet_fixture.rs
+++ b/tests/support/fleet_fixture.rs
@@ -25,7 +25,7 @@
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
 /// Time between two looks at a condition.
-const POLL: Duration = Duration::from_millis(50);
+pub const POLL: Duration = Duration::from_millis(50);
 
 /// A contract with one service.
 pub const CONTRACT: &str = "\
--- a/tests/support/fleet_targets.rs
+++ b/tests/support/fleet_targets.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fixture")]
 
 use {
-    crate::fleet_fixture::{TestFleet, wait_until},
+    crate::fleet_fixture::{PATIENCE, POLL, TestFleet, wait_until},
     poplarwing_standins::{
         caller::{CallRecord, CallerPlan, run_plan},
         target::{
@@ -12,8 +12,8 @@
             script::{FailureKind, FailureRule, TargetScript},
         },
     },
-    std::sync::Arc,
-    tokio::{net::TcpListener, task::JoinHandle},
+    std::{sync::Arc, time::Instant},
+    tokio::{net::TcpListener, task::JoinHandle, time::sleep},
 };
 
 /// A contract with routes of every kind: idempotent, keyed, and neither.
@@ -103,8 +103,15 @@
 pub async fn wait_targets(fleet: &TestFleet, count: usize) {
     for index in 0..fleet.nodes.len() {
         if fleet.nodes.process_id(index).is_some() {
-            let what = format!("node {index} knows {count} targets");
-            wait_until(&what, async || known_targets(fleet, index).await == count).await;
+            let deadline = Instant::now() + PATIENCE;
+            while known_targets(fleet, index).await != count {
+                let status = fleet.status(index).await;
+                assert!(
+                    Instant::now() < deadline,
+                    "node {index} does not know {count} targets: {status:?}"
+                );
+                sleep(POLL).await;
+            }
         }
     }
 }
