--- a/src/node/admin_ports.rs
+++ b/src/node/admin_ports.rs
@@ -12,6 +12,7 @@
         config::ConfigSnapshot,
         config_store::{AuditRecord, ChangeAuthor, CommitError, ConfigChange, ContractWrite},
         ids::CustomerName,
+        membership::TargetRecord,
         platform_store::StoreError,
     },
     std::{sync::Arc, time::Instant},
@@ -138,17 +139,19 @@
     }
 }
 
+fn without_demand(target: &TargetRecord) -> TargetRecord {
+    TargetRecord {
+        demand: 0,
+        ..target.clone()
+    }
+}
+
 fn announce_target(parts: &NodeParts, body: TargetAnnouncementBody) {
     parts.target.announce(body, Instant::now());
     let record = parts.target.record();
     let known = parts.gossip.own().target;
     // Demand is spread at its own pace; a change of anything else is news at once.
-    let comparable = |target: &crate::membership::TargetRecord| {
-        let mut target = target.clone();
-        target.demand = 0;
-        target
-    };
-    if record.as_ref().map(comparable) != known.as_ref().map(comparable) {
+    if record.as_ref().map(without_demand) != known.as_ref().map(without_demand) {
         parts.gossip.announce_target(record);
     }
 }
--- a/src/node/move_ports.rs
+++ b/src/node/move_ports.rs
@@ -10,9 +10,9 @@
         lease::{LeaseKeeper, LeaseName, LeaseProof},
         move_controller::{
             EvidenceSource, LeaseAsk, MoveController, MoveError, MoveEvent, MoveEventBody,
-            MovePorts, MoveWork, SplitCommit, plan::StepChange,
+            MovePorts, MoveWork, SplitCommit,
         },
-        node_metrics::{MoveResult, NodeMetrics},
+        node_metrics::MoveResult,
         platform_store::PlatformStore,
         wire::EvidenceReply,
     },
@@ -179,14 +179,14 @@
             warn!(service = %event.key, move_id = event.move_id, %work, message, "move step failed");
             return;
         }
-        MoveEventBody::Completed(change) => count_end(change, event, parts, wall),
+        MoveEventBody::Completed(_) => count_completed(event, parts, wall),
         MoveEventBody::TakenBack(_) => parts.metrics.count_move(MoveResult::TakenBack),
         MoveEventBody::VetoIssued(_) | MoveEventBody::StepWritten(_) => {}
     }
     log_event(event);
 }
 
-fn count_end(change: &StepChange, event: &MoveEvent, parts: &NodeParts, wall: SystemTime) {
+fn count_completed(event: &MoveEvent, parts: &NodeParts, wall: SystemTime) {
     let snapshot = parts.board.gate.current();
     let current = snapshot
         .split(&event.key)
@@ -207,12 +207,7 @@
     } else {
         MoveResult::Late
     };
-    tracing::debug!(reason = %change.reason, ?result, "move completed");
-    count_result(&parts.metrics, result);
-}
-
-fn count_result(metrics: &NodeMetrics, result: MoveResult) {
-    metrics.count_move(result);
+    parts.metrics.count_move(result);
 }
 
 fn log_event(event: &MoveEvent) {
