Say for which calls a second thread doubles the added latency

Cause: the comment claimed it for all calls; it was measured without a hop. Change: comment only. Conclusion: the comment says what was measured.

--- a/src/node_run.rs
+++ b/src/node_run.rs
@@ -20,7 +20,7 @@
 const USAGE_EXIT: u8 = 2;
 
 /// Threads that run a node's tasks. A node of the design size sees about 120 calls a second; with a second
-/// thread, each call pays for waking it, and the added latency at the 99th percentile doubles.
+/// thread, each call pays for waking it: without a hop the added latency at the 99th percentile doubles.
 const WORKER_THREADS: usize = 1;
 
 /// Runs a node until a signal asks it to stop, and returns the exit code of the process.
