--- a/src/active_config.rs
+++ b/src/active_config.rs
@@ -1,14 +1,15 @@
 //! A configuration in force together with the index that the call path needs.
 
 use {
-    crate::config::{ConfigResource, ConfigSnapshot, RouteSpec, ServiceSpec},
+    crate::config::{ConfigResource, ConfigSnapshot, HostRoute, RouteSpec, ServiceSpec},
     derive_more::Deref,
-    std::{collections::HashMap, sync::Arc},
+    std::{cmp::Reverse, collections::HashMap, sync::Arc},
 };
 
 /// A configuration in force.
 ///
-/// Invariant: `services_by_host` names every service of `snapshot` by its host in lower case. The index is
+/// Invariants: `services_by_host` names every service of `snapshot` by its host in lower case, and
+/// `routes_by_host` holds every route without a contract, those with the longest prefix first. The indexes are
 /// built once when a version is put in force, because a search over all services for each call would grow
 /// with their number.
 #[derive(Debug, Default, Deref)]
@@ -16,6 +17,7 @@
     #[deref(forward)]
     snapshot: Arc<ConfigSnapshot>,
     services_by_host: HashMap<String, String>,
+    routes_by_host: HashMap<String, Vec<Arc<HostRoute>>>,
 }
 
 impl From<ConfigSnapshot> for ActiveConfig {
@@ -29,13 +31,30 @@
                 )
             })
             .collect();
+        let routes_by_host = index_routes(&snapshot);
         Self {
             snapshot: Arc::new(snapshot),
             services_by_host,
+            routes_by_host,
         }
     }
 }
 
+fn index_routes(snapshot: &ConfigSnapshot) -> HashMap<String, Vec<Arc<HostRoute>>> {
+    let mut by_host: HashMap<String, Vec<Arc<HostRoute>>> = HashMap::new();
+    for route in snapshot.host_routes() {
+        let host = route.host.to_ascii_lowercase();
+        by_host
+            .entry(host)
+            .or_default()
+            .push(Arc::new(route.clone()));
+    }
+    for routes in by_host.values_mut() {
+        routes.sort_by_key(|route| Reverse(route.prefix.len()));
+    }
+    by_host
+}
+
 impl ActiveConfig {
     /// Returns the configuration without its index.
     pub fn snapshot(&self) -> Arc<ConfigSnapshot> {
@@ -52,6 +71,14 @@
         }
     }
 
+    /// Returns the route without a contract with the longest prefix that begins the path.
+    pub fn host_route(&self, host: &str, path: &str) -> Option<Arc<HostRoute>> {
+        let name = host_name(host).to_ascii_lowercase();
+        let routes = self.routes_by_host.get(&name)?;
+        let matching = routes.iter().find(|route| path.starts_with(&route.prefix));
+        matching.cloned()
+    }
+
     /// Returns the service and route of a call: by host, method and the longest matching path prefix;
     /// `path` is without the query.
     pub fn find_route(
--- a/src/call_proxy/headers.rs
+++ b/src/call_proxy/headers.rs
@@ -136,14 +136,19 @@
 
 /// Removes headers that concern one connection, and those that only nodes may set.
 pub fn strip_headers(headers: &mut HeaderMap) {
+    strip_connection_headers(headers);
+    let own = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX));
+    for name in own.cloned().collect::<Vec<_>>() {
+        headers.remove(name);
+    }
+}
+
+/// Removes headers that concern one connection.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
     let mut dropped: Vec<HeaderName> = named_by_connection(headers);
     dropped.extend(CONNECTION_HEADERS);
-    dropped.extend(
-        headers
-            .keys()
-            .filter(|name| name.as_str().starts_with(OWN_PREFIX))
-            .cloned(),
-    );
     for name in dropped {
         headers.remove(name);
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -178,6 +178,68 @@
     pub current_move: Option<VersionMove>,
 }
 
+/// Share of a service in the calls of a route.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteShare {
+    /// Service that receives the share.
+    pub service: ServiceKey,
+    /// Weight relative to the other shares of the route.
+    pub weight: u32,
+}
+
+/// A route whose operator names host, prefix and services directly, without a contract.
+///
+/// Invariants: `prefix` begins and ends with a slash; `shares` is not empty and its weights do not sum to 0.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostRoute {
+    /// Name of the route, unique within the configuration.
+    pub name: RouteName,
+    /// Host name under which callers reach the route.
+    pub host: String,
+    /// Path prefix that the route serves; the longest matching prefix of a host wins.
+    pub prefix: String,
+    /// Services that the calls are divided among.
+    pub shares: Vec<RouteShare>,
+    /// Whether a call may run more than once without harm.
+    pub idempotent: bool,
+    /// Longest time from the arrival of a call to the end of its answer.
+    pub timeout: Duration,
+    /// Time within which an answer has its full value for the caller.
+    pub objective: Duration,
+    /// Largest number of targets that one call may be sent to.
+    pub attempts: u32,
+    /// Rank of the route; 0 goes before all others.
+    pub priority: u32,
+}
+
+/// A service whose operator sets no contract for it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendSpec {
+    /// Key of the service.
+    pub key: ServiceKey,
+    /// Connections that each of its targets accepts from all callers together.
+    pub connections: u32,
+    /// Path of the health check of its targets.
+    pub health_path: String,
+}
+
+/// What a caller may send, and how long it may take.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct IntakeLimits {
+    /// Longest head of a request in bytes.
+    pub header_bytes: u64,
+    /// Longest body of a request in bytes.
+    pub body_bytes: u64,
+    /// Longest time for the head of a request.
+    pub header_timeout: Duration,
+    /// Time after which an idle connection of a caller is closed.
+    pub idle_timeout: Duration,
+}
+
 /// One named part of a configuration.
 #[derive(Clone, Debug, Deserialize, Eq, From, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -188,6 +250,12 @@
     Service(ServiceSpec),
     /// Division of calls between versions.
     Split(TrafficSplit),
+    /// A route that is set without a contract.
+    Route(HostRoute),
+    /// A service that is set without a contract.
+    Backend(BackendSpec),
+    /// What a caller may send.
+    Intake(IntakeLimits),
 }
 
 /// Name of a resource within a configuration.
@@ -200,6 +268,9 @@
             Self::Customer(spec) => format!("customer/{}", spec.customer),
             Self::Service(spec) => format!("service/{}", spec.key),
             Self::Split(split) => format!("split/{}", split.key),
+            Self::Route(route) => format!("route/{}", route.name),
+            Self::Backend(spec) => format!("backend/{}", spec.key),
+            Self::Intake(_) => "intake".to_owned(),
         }
     }
 }
@@ -335,6 +406,32 @@
             })
     }
 
+    /// Iterates over the routes that are set without a contract.
+    pub fn host_routes(&self) -> impl Iterator<Item = &HostRoute> {
+        self.resources
+            .values()
+            .filter_map(|entry| match &entry.resource {
+                ConfigResource::Route(route) => Some(route),
+                _ => None,
+            })
+    }
+
+    /// Returns the service that is set without a contract under this key.
+    pub fn backend(&self, key: &ServiceKey) -> Option<&BackendSpec> {
+        match &self.resources.get(&format!("backend/{key}"))?.resource {
+            ConfigResource::Backend(spec) => Some(spec),
+            _ => None,
+        }
+    }
+
+    /// Returns what callers may send, if the configuration limits it.
+    pub fn intake(&self) -> Option<&IntakeLimits> {
+        match &self.resources.get("intake")?.resource {
+            ConfigResource::Intake(limits) => Some(limits),
+            _ => None,
+        }
+    }
+
     /// Checks that every reference resolves and no host is claimed twice.
     pub fn check(&self) -> Result<(), ConfigError> {
         self.check_references()?;
@@ -426,7 +523,15 @@
 
 fn required_names(resource: &ConfigResource) -> Vec<ResourceName> {
     match resource {
-        ConfigResource::Customer(_) => Vec::new(),
+        ConfigResource::Customer(_) | ConfigResource::Backend(_) | ConfigResource::Intake(_) => {
+            Vec::new()
+        }
+        ConfigResource::Route(route) => {
+            let shares = route.shares.iter();
+            shares
+                .map(|share| format!("backend/{}", share.service))
+                .collect()
+        }
         ConfigResource::Service(spec) => {
             vec![
                 format!("customer/{}", spec.key.customer),
--- a/src/contract.rs
+++ b/src/contract.rs
@@ -232,6 +232,9 @@
             ConfigResource::Customer(spec) => &spec.customer,
             ConfigResource::Service(spec) => &spec.key.customer,
             ConfigResource::Split(split) => &split.key.customer,
+            ConfigResource::Route(_) | ConfigResource::Backend(_) | ConfigResource::Intake(_) => {
+                return false;
+            }
         };
         owner == customer
     });
--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -13,12 +13,16 @@
     },
     thiserror::Error,
     tracing::{Subscriber, info, warn},
+    tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard},
     tracing_subscriber::{EnvFilter, fmt::MakeWriter, util::SubscriberInitExt},
 };
 
 /// Unit of the sample rate.
 const FULL_SAMPLE_PERMILLE: u64 = 1000;
 
+/// Lines that wait for the standard output stream at most.
+const STDOUT_LINES: usize = 4096;
+
 /// Sampler of the process, set by `init_log`.
 static CALL_SAMPLER: CallSampler = CallSampler::new(FULL_SAMPLE_PERMILLE as u32);
 
@@ -119,6 +123,20 @@
     Ok(())
 }
 
+/// Starts the log of the process on the standard output stream; the guard writes the rest when dropped.
+///
+/// A thread of its own writes the lines. While the stream does not take them, lines beyond a bounded number are
+/// dropped, so that no call waits for the log.
+pub fn init_stdout_log(section: &LogSection) -> Result<WorkerGuard, LogError> {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(STDOUT_LINES)
+        .lossy(true)
+        .finish(io::stdout());
+    json_subscriber(section, writer)?.try_init()?;
+    CALL_SAMPLER.set_share(section.call_sample_permille);
+    Ok(guard)
+}
+
 /// Returns a subscriber that writes JSON lines to `writer`.
 pub fn json_subscriber<W>(
     section: &LogSection,
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -15,7 +15,7 @@
         config_sync::{PullOutcome, ask_join, pull_counted},
         ids::Incarnation,
         membership::{MemberRecord, MemberState, TargetRecord},
-        settings::NodeSettings,
+        settings::{GossipSection, NodeSection, NodeSettings},
         veto_table::VetoRecord,
         wire::{JoinReply, MemberEvent},
         wire_codec::{PacketError, decode_packet, encode_packet},
@@ -62,7 +62,8 @@
 
 #[derive(Debug)]
 struct GossipShared {
-    settings: Arc<NodeSettings>,
+    node: NodeSection,
+    seeds: Vec<SocketAddr>,
     board: Arc<Blackboard>,
     counters: GossipCounters,
     machine: Mutex<GossipMachine>,
@@ -87,13 +88,24 @@
         board: Arc<Blackboard>,
         incarnation: Incarnation,
     ) -> Self {
-        let own = own_record(&settings, &board, incarnation);
+        Self::with_sections(&settings.node, &settings.gossip, board, incarnation)
+    }
+
+    /// Makes the membership of a node from the sections that concern it.
+    pub fn with_sections(
+        node: &NodeSection,
+        gossip: &GossipSection,
+        board: Arc<Blackboard>,
+        incarnation: Incarnation,
+    ) -> Self {
+        let own = own_record(node, &board, incarnation);
         let seed = rand::rng().random();
         let machine = with_tables(&board, |tables| {
-            GossipMachine::new(settings.gossip.clone(), own, seed, Duration::ZERO, tables)
+            GossipMachine::new(gossip.clone(), own, seed, Duration::ZERO, tables)
         });
         let shared = GossipShared {
-            settings,
+            node: node.clone(),
+            seeds: gossip.seeds.clone(),
             board,
             counters: GossipCounters::default(),
             machine: Mutex::new(machine),
@@ -231,8 +243,8 @@
             return;
         }
         *rejoin_at = now + REJOIN_PAUSE.mul_f64(1.0 + rand::random::<f64>());
-        let own = self.shared.settings.node.peer_address;
-        let seeds = self.shared.settings.gossip.seeds.iter();
+        let own = self.shared.node.peer_address;
+        let seeds = self.shared.seeds.iter();
         let seed = seeds.filter(|seed| **seed != own).choose(&mut rand::rng());
         if let Some(seed) = seed.copied() {
             let node = self.clone();
@@ -364,7 +376,7 @@
 
     async fn pull_once(&self, newer: NewerVersion) {
         let counters = &self.shared.counters;
-        let own = &self.shared.settings.node.id;
+        let own = &self.shared.node.id;
         let result = pull_counted(newer.address, own, &self.shared.board, counters).await;
         match result {
             Ok(PullOutcome::Applied { version }) => {
@@ -403,12 +415,7 @@
     since_epoch.map_or(0, |time| time.as_millis() as u64)
 }
 
-fn own_record(
-    settings: &NodeSettings,
-    board: &Blackboard,
-    incarnation: Incarnation,
-) -> MemberRecord {
-    let node = &settings.node;
+fn own_record(node: &NodeSection, board: &Blackboard, incarnation: Incarnation) -> MemberRecord {
     MemberRecord {
         node: node.id.clone(),
         incarnation,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod lease;
 pub mod limit_share;
 pub mod membership;
+pub mod mesh;
 pub mod move_controller;
 pub mod move_verdict;
 pub mod node;
--- /dev/null
+++ b/src/mesh/admission.rs
@@ -0,0 +1,282 @@
+//! Admission of calls to the slots of the target beside this node.
+//!
+//! A target gets no more calls than it has slots. Further calls wait here, where they can be ordered by rank
+//! and refused truthfully.
+
+use {
+    parking_lot::Mutex,
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::sync::oneshot,
+};
+
+/// Weight of the newest call in the average of the service time.
+const SERVICE_TIME_WEIGHT: f64 = 0.08;
+
+/// Service time assumed before the first call has ended.
+const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
+
+/// Time by which a call goes before one of the next lower rank that arrived together with it.
+const RANK_STEP: Duration = Duration::from_millis(300);
+
+/// Part of the service time that must be left of a deadline for a call to be worth starting.
+const USEFUL_PART: f64 = 0.6;
+
+/// Why a call was not admitted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmissionRefusal {
+    /// The expected wait is longer than the call may wait.
+    Full,
+    /// The target takes no new calls.
+    Closed,
+}
+
+/// Load of a target as its node sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetLoad {
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that wait.
+    pub waiting: u32,
+    /// Calls that can run at once.
+    pub slots: u32,
+    /// Average time of a call at the target.
+    pub service_time: Duration,
+}
+
+impl TargetLoad {
+    /// Returns how long one more call would wait for a slot.
+    pub fn expected_wait(&self) -> Duration {
+        let slots = self.slots.max(1);
+        let ahead = (self.running + self.waiting + 1).saturating_sub(slots);
+        self.service_time
+            .mul_f64(f64::from(ahead) / f64::from(slots))
+    }
+}
+
+/// Order of waiting calls: time of arrival moved by rank, then number.
+type WaiterKey = (Instant, u64);
+
+/// A call that waits.
+#[derive(Debug)]
+struct Waiter {
+    admit: oneshot::Sender<()>,
+    deadline: Instant,
+}
+
+#[derive(Debug)]
+struct QueueState {
+    slots: u32,
+    running: u32,
+    waiting: BTreeMap<WaiterKey, Waiter>,
+    service_time: Duration,
+    next_number: u64,
+    closed: bool,
+}
+
+/// Slots of a target with an ordered queue.
+///
+/// Invariant: at most `slots` permits are out unless the slots were reduced while they were.
+#[derive(Clone, Debug)]
+pub struct AdmissionQueue {
+    state: Arc<Mutex<QueueState>>,
+}
+
+/// One slot; it goes back when it is dropped.
+#[derive(Debug)]
+pub struct SlotPermit {
+    state: Arc<Mutex<QueueState>>,
+}
+
+/// What a call says about itself when it asks for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotAsk {
+    /// Rank of the call; 0 goes first.
+    pub rank: u32,
+    /// When the answer must have ended.
+    pub deadline: Instant,
+    /// Longest expected wait that the call accepts.
+    pub patience: Duration,
+}
+
+impl Default for AdmissionQueue {
+    fn default() -> Self {
+        let state = QueueState {
+            slots: 1,
+            running: 0,
+            waiting: BTreeMap::new(),
+            service_time: FIRST_SERVICE_TIME,
+            next_number: 0,
+            closed: false,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+}
+
+impl AdmissionQueue {
+    /// Sets the number of slots and takes calls.
+    pub fn open(&self, slots: u32) {
+        let mut state = self.state.lock();
+        state.slots = slots.max(1);
+        state.closed = false;
+        state.admit_next();
+    }
+
+    /// Refuses all that wait and all that come.
+    pub fn close(&self) {
+        let mut state = self.state.lock();
+        state.closed = true;
+        // A dropped sender refuses its waiter.
+        state.waiting.clear();
+    }
+
+    /// Returns the load.
+    pub fn load(&self) -> TargetLoad {
+        self.state.lock().load()
+    }
+
+    /// Adds the time that a call took at the target to the average.
+    pub fn note_service_time(&self, elapsed: Duration) {
+        let mut state = self.state.lock();
+        let old = state.service_time.as_secs_f64();
+        let new = old + SERVICE_TIME_WEIGHT * (elapsed.as_secs_f64() - old);
+        state.service_time = Duration::from_secs_f64(new.max(0.0));
+    }
+
+    /// Waits for a slot.
+    pub async fn acquire(&self, ask: SlotAsk) -> Result<SlotPermit, AdmissionRefusal> {
+        let place = match self.enter(ask)? {
+            Entry::Admitted(permit) => return Ok(permit),
+            Entry::Waiting(place) => place,
+        };
+        place.wait().await
+    }
+
+    fn enter(&self, ask: SlotAsk) -> Result<Entry, AdmissionRefusal> {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        if state.closed {
+            return Err(AdmissionRefusal::Closed);
+        }
+        if state.running < state.slots {
+            state.running += 1;
+            let permit = SlotPermit {
+                state: self.state.clone(),
+            };
+            return Ok(Entry::Admitted(permit));
+        }
+        let wait = state.expected_wait(ask.rank, now);
+        let left = ask.deadline.saturating_duration_since(now);
+        if wait > ask.patience || wait + state.service_time.mul_f64(USEFUL_PART) > left {
+            return Err(AdmissionRefusal::Full);
+        }
+        let number = state.next_number;
+        state.next_number += 1;
+        let (admit, admitted) = oneshot::channel();
+        let key = (now + RANK_STEP * ask.rank, number);
+        let deadline = ask.deadline;
+        state.waiting.insert(key, Waiter { admit, deadline });
+        Ok(Entry::Waiting(WaitPlace {
+            state: self.state.clone(),
+            key,
+            admitted,
+            taken: false,
+        }))
+    }
+}
+
+impl QueueState {
+    fn load(&self) -> TargetLoad {
+        TargetLoad {
+            running: self.running,
+            waiting: self.waiting.len() as u32,
+            slots: self.slots,
+            service_time: self.service_time,
+        }
+    }
+
+    fn expected_wait(&self, rank: u32, now: Instant) -> Duration {
+        let before = (now + RANK_STEP * rank, u64::MAX);
+        let ahead = self.waiting.range(..before).count() as u32;
+        let load = TargetLoad {
+            waiting: ahead,
+            ..self.load()
+        };
+        load.expected_wait()
+    }
+
+    /// Gives free slots to waiting calls; those that can no longer be done in time are refused.
+    fn admit_next(&mut self) {
+        let now = Instant::now();
+        let useful = self.service_time.mul_f64(USEFUL_PART);
+        while self.running < self.slots {
+            let Some((_, waiter)) = self.waiting.pop_first() else {
+                return;
+            };
+            if waiter.deadline < now + useful {
+                continue;
+            }
+            if waiter.admit.send(()).is_ok() {
+                self.running += 1;
+            }
+        }
+    }
+}
+
+enum Entry {
+    Admitted(SlotPermit),
+    Waiting(WaitPlace),
+}
+
+/// Place in the queue; given up when dropped, also when the caller goes away.
+struct WaitPlace {
+    state: Arc<Mutex<QueueState>>,
+    key: WaiterKey,
+    admitted: oneshot::Receiver<()>,
+    taken: bool,
+}
+
+impl WaitPlace {
+    async fn wait(mut self) -> Result<SlotPermit, AdmissionRefusal> {
+        match (&mut self.admitted).await {
+            Ok(()) => {
+                self.taken = true;
+                Ok(SlotPermit {
+                    state: self.state.clone(),
+                })
+            }
+            Err(_) => {
+                self.taken = true;
+                Err(AdmissionRefusal::Full)
+            }
+        }
+    }
+}
+
+impl Drop for WaitPlace {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let mut state = self.state.lock();
+        state.waiting.remove(&self.key);
+        // The slot may have been given to this place between the last poll and the drop.
+        if self.admitted.try_recv().is_ok() {
+            state.running -= 1;
+            state.admit_next();
+        }
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        let mut state = self.state.lock();
+        state.running = state.running.saturating_sub(1);
+        state.admit_next();
+    }
+}
--- /dev/null
+++ b/src/mesh/entry.rs
@@ -0,0 +1,619 @@
+//! Server for callers: route of a call, choice of its targets, and the rule for trying another.
+
+use {
+    super::{
+        admission::TargetLoad,
+        choice::{ChoiceWeights, PeerEnd},
+        context::MeshContext,
+        hop::{BodyGate, CHOICE_HEADER, HopChoice, take_load},
+        http::{WholeBodyError, read_whole},
+        refusal::{CallFate, MeshRefusal, WholeBody},
+        target::{CallBody, MAX_ANSWER_BYTES, MAX_REQUEST_BYTES, forwarded_headers, run_at_target},
+    },
+    crate::{
+        config::{HostRoute, ServiceKey},
+        ids::NodeId,
+        membership::TargetEndpoint,
+        target_client::peer_uri,
+    },
+    bytes::Bytes,
+    http::{
+        HeaderMap, HeaderValue, Request, Response, StatusCode,
+        header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST},
+        request::Parts,
+    },
+    http_body_util::Full,
+    hyper::body::Incoming,
+    rand::Rng,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::timeout_at,
+    tracing::{info, warn},
+};
+
+/// Time after which a caller may ask a node again that knows no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+
+/// Shortest and longest time after which a refused caller is told to come back.
+const RETRY_AFTER_RANGE: (Duration, Duration) =
+    (Duration::from_millis(50), Duration::from_millis(1000));
+
+/// Part of the route's objective that a target in another failure domain costs.
+const REMOTE_PART: f64 = 0.3;
+
+/// Part of the route's objective that a failed attempt costs.
+const FAILURE_PART: f64 = 2.0;
+
+/// Part of the route's objective that a call accepts to wait at the first targets it asks.
+const PATIENCE_PART: f64 = 0.1;
+
+/// Nodes asked for one call, refusals included.
+const MAX_ASKED: u32 = 8;
+
+/// Part of the time left that an attempt may take while another may follow.
+const ATTEMPT_PART: f64 = 0.55;
+
+/// Time beyond the accepted wait after which a node that has not asked for the body is given up.
+const ADMISSION_SLACK: Duration = Duration::from_millis(250);
+
+/// Time before the deadline at which the answer is given up, so that it reaches the caller in time.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
+
+/// A call with its route, as far as an attempt needs it.
+struct EntryCall {
+    route: Arc<HostRoute>,
+    service: ServiceKey,
+    head: Parts,
+    content: Bytes,
+    call_id: String,
+    config_version: u64,
+    started: Instant,
+    deadline: Instant,
+    draw: u32,
+}
+
+/// What the attempts of a call have led to so far.
+#[derive(Default)]
+struct AttemptHistory {
+    /// Nodes that are not to be asked again.
+    tried: Vec<NodeId>,
+    /// Nodes that had no room within the short patience.
+    full: Vec<NodeId>,
+    /// Attempts that may have reached a target.
+    arrivals: u32,
+    asked: u32,
+    /// Whether the call now accepts any wait.
+    last_round: bool,
+    refusal: Option<MeshRefusal>,
+    /// Whether some attempt may have run the request.
+    may_have_run: bool,
+    answer: Option<Response<WholeBody>>,
+}
+
+/// Answers a caller.
+pub async fn answer_call(
+    context: Arc<MeshContext>,
+    request: Request<Incoming>,
+) -> Response<WholeBody> {
+    let started = Instant::now();
+    let call_id = text_of(request.headers(), &context.settings.headers.call_id);
+    let answered = match accept_call(&context, request, started, call_id.clone()).await {
+        Ok(call) => run_call(&context, &call).await,
+        Err(refusal) => Err(refusal),
+    };
+    let mut response = match answered {
+        Ok(response) => response,
+        Err(refusal) => {
+            context.metrics.count_refusal(refusal.reason.clone());
+            warn!(
+                decision = "refuse",
+                call = call_id,
+                status = refusal.status.as_u16(),
+                fate = %refusal.fate,
+                reason = %refusal.reason,
+                elapsed_ms = started.elapsed().as_millis() as u64,
+                config_version = context.board.gate.version(),
+                "call refused"
+            );
+            refusal.answer()
+        }
+    };
+    if context.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+fn text_of(headers: &HeaderMap, name: &http::HeaderName) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// Checks a call, finds its route and reads its body.
+async fn accept_call(
+    context: &MeshContext,
+    request: Request<Incoming>,
+    started: Instant,
+    call_id: String,
+) -> Result<EntryCall, MeshRefusal> {
+    let config = context.board.gate.active();
+    if config.version == 0 {
+        return Err(MeshRefusal::not_run("no-configuration", NOT_READY_RETRY));
+    }
+    let host = text_of(request.headers(), &HOST);
+    let route = config
+        .host_route(&host, request.uri().path())
+        .ok_or_else(|| MeshRefusal::rejected(StatusCode::NOT_FOUND, "no-route"))?;
+    let asked = asked_time(context, request.headers())?;
+    let allowed = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
+    let deadline = started + allowed.saturating_sub(DEADLINE_MARGIN);
+    let limit = config.intake().map_or(MAX_REQUEST_BYTES, |limits| {
+        MAX_REQUEST_BYTES.min(limits.body_bytes as usize)
+    });
+    let config_version = config.version;
+    let (head, body) = request.into_parts();
+    let content = read_body(&head, body, limit, deadline).await?;
+    let mut rng = rand::rng();
+    let draw = rng.random_range(0..1000);
+    let service = context
+        .splits
+        .lock()
+        .next(&route, config_version, &mut rng)
+        .ok_or_else(|| MeshRefusal::not_run("no-service", NOT_READY_RETRY))?;
+    Ok(EntryCall {
+        route,
+        service,
+        head,
+        content,
+        call_id,
+        config_version,
+        started,
+        deadline,
+        draw,
+    })
+}
+
+fn asked_time(context: &MeshContext, headers: &HeaderMap) -> Result<Option<Duration>, MeshRefusal> {
+    let Some(value) = headers.get(&context.settings.headers.deadline) else {
+        return Ok(None);
+    };
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    match millis {
+        Some(millis) => Ok(Some(Duration::from_millis(millis))),
+        None => Err(MeshRefusal::rejected(
+            StatusCode::BAD_REQUEST,
+            "invalid-deadline",
+        )),
+    }
+}
+
+async fn read_body(
+    head: &Parts,
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, MeshRefusal> {
+    let too_long = || MeshRefusal::rejected(StatusCode::PAYLOAD_TOO_LARGE, "body-limit");
+    let announced = head.headers.get(CONTENT_LENGTH);
+    let announced = announced.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_long());
+    }
+    match timeout_at(deadline.into(), read_whole(body, limit)).await {
+        Ok(Ok(content)) => Ok(content),
+        Ok(Err(WholeBodyError::OverLimit { .. })) => Err(too_long()),
+        Ok(Err(WholeBodyError::Broken(_))) => Err(MeshRefusal::rejected(
+            StatusCode::BAD_REQUEST,
+            "broken-body",
+        )),
+        Err(_) => Err(MeshRefusal::rejected(
+            StatusCode::REQUEST_TIMEOUT,
+            "slow-body",
+        )),
+    }
+}
+
+/// Runs attempts until one gives an answer or the rule forbids another.
+async fn run_call(
+    context: &Arc<MeshContext>,
+    call: &EntryCall,
+) -> Result<Response<WholeBody>, MeshRefusal> {
+    let mut history = AttemptHistory::default();
+    context.budgets.lock().earn(&call.service, Instant::now());
+    loop {
+        let Some(target) = choose_target(context, call, &mut history) else {
+            return end_call(context, call, history);
+        };
+        history.asked += 1;
+        let ended = attempt(context, call, &target, &history).await;
+        match ended {
+            Ok(response) if !response.status().is_server_error() => {
+                report_answer(context, call, &target, &response, &history);
+                return Ok(response);
+            }
+            Ok(response) => {
+                history.note_error(&target, response);
+                if !may_repeat(context, call, &history, true) {
+                    return end_call(context, call, history);
+                }
+            }
+            Err(refusal) => {
+                let arrived = history.note_refusal(&target, refusal);
+                if !may_repeat(context, call, &history, arrived) {
+                    return end_call(context, call, history);
+                }
+            }
+        }
+        report_retry(call, &target, &history);
+    }
+}
+
+impl AttemptHistory {
+    fn note_error(&mut self, target: &TargetEndpoint, response: Response<WholeBody>) {
+        self.tried.push(target.node.clone());
+        self.arrivals += 1;
+        self.may_have_run = true;
+        self.answer = Some(response);
+    }
+
+    /// Notes a refusal; returns whether the request may have arrived at a target.
+    fn note_refusal(&mut self, target: &TargetEndpoint, refusal: MeshRefusal) -> bool {
+        let arrived = refusal.fate == CallFate::Unknown || refusal.reason == "target-shed";
+        self.arrivals += u32::from(arrived);
+        self.may_have_run |= refusal.fate == CallFate::Unknown;
+        match refusal.reason == "full" && !self.last_round {
+            true => self.full.push(target.node.clone()),
+            false => self.tried.push(target.node.clone()),
+        }
+        self.refusal = Some(refusal);
+        arrived
+    }
+}
+
+/// Returns whether another attempt may follow; takes a repeat from the budget if one arrived before.
+fn may_repeat(
+    context: &MeshContext,
+    call: &EntryCall,
+    history: &AttemptHistory,
+    arrived: bool,
+) -> bool {
+    let now = Instant::now();
+    if now >= call.deadline || history.asked >= MAX_ASKED {
+        return false;
+    }
+    if history.may_have_run && !call.route.idempotent {
+        return false;
+    }
+    if !arrived {
+        return true;
+    }
+    history.arrivals < call.route.attempts && context.budgets.lock().spend(&call.service, now)
+}
+
+/// Returns what the caller gets when no further attempt is made.
+fn end_call(
+    context: &MeshContext,
+    call: &EntryCall,
+    mut history: AttemptHistory,
+) -> Result<Response<WholeBody>, MeshRefusal> {
+    if let Some(answer) = history.answer.take() {
+        return Ok(answer);
+    }
+    let refusal = history.refusal.take();
+    let refusal = refusal.unwrap_or_else(|| MeshRefusal::not_run("no-target", NOT_READY_RETRY));
+    if history.may_have_run && refusal.fate == CallFate::NotRun {
+        return Err(MeshRefusal::unknown(
+            StatusCode::BAD_GATEWAY,
+            "earlier-attempt-unknown",
+        ));
+    }
+    if refusal.fate == CallFate::Unknown {
+        return Err(refusal);
+    }
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let (shortest, longest) = RETRY_AFTER_RANGE;
+    let wait = refusal.retry_after.unwrap_or(shortest);
+    let wait = wait.clamp(shortest, longest).min(left / 3);
+    let _ = context;
+    Err(MeshRefusal {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        retry_after: Some(wait),
+        ..refusal
+    })
+}
+
+fn weights(route: &HostRoute) -> ChoiceWeights {
+    ChoiceWeights {
+        remote: route.objective.mul_f64(REMOTE_PART),
+        failure: route.objective.mul_f64(FAILURE_PART),
+    }
+}
+
+/// Chooses the next target; after all have refused for lack of room, the best of them is asked once more.
+fn choose_target(
+    context: &MeshContext,
+    call: &EntryCall,
+    history: &mut AttemptHistory,
+) -> Option<TargetEndpoint> {
+    let targets = context.board.members.lock().targets_of(&call.service);
+    let eligible = context
+        .moves
+        .lock()
+        .eligible(&call.service, targets, call.draw);
+    let excluded: Vec<NodeId> = match history.last_round {
+        true => history.tried.clone(),
+        false => history.tried.iter().chain(&history.full).cloned().collect(),
+    };
+    let chosen = context
+        .loads
+        .lock()
+        .choose(
+            &eligible,
+            &context.settings.node.failure_domain,
+            &excluded,
+            weights(&call.route),
+            Instant::now(),
+            &mut rand::rng(),
+        )
+        .cloned();
+    if chosen.is_none() && !history.last_round && !history.full.is_empty() {
+        history.last_round = true;
+        return choose_target(context, call, history);
+    }
+    chosen
+}
+
+/// Counts an attempt in the loads from its start to its end; a dropped guard says nothing of the target.
+struct LoadGuard {
+    context: Arc<MeshContext>,
+    node: NodeId,
+    ended: bool,
+}
+
+impl LoadGuard {
+    fn new(context: &Arc<MeshContext>, node: &NodeId) -> Self {
+        context.loads.lock().begin(node);
+        Self {
+            context: context.clone(),
+            node: node.clone(),
+            ended: false,
+        }
+    }
+
+    fn end(mut self, end: PeerEnd, load: Option<TargetLoad>) {
+        self.ended = true;
+        let now = Instant::now();
+        self.context.loads.lock().end(&self.node, end, load, now);
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        if !self.ended {
+            let mut loads = self.context.loads.lock();
+            loads.end(&self.node, PeerEnd::Neutral, None, Instant::now());
+        }
+    }
+}
+
+async fn attempt(
+    context: &Arc<MeshContext>,
+    call: &EntryCall,
+    target: &TargetEndpoint,
+    history: &AttemptHistory,
+) -> Result<Response<WholeBody>, MeshRefusal> {
+    let guard = LoadGuard::new(context, &target.node);
+    let choice = hop_choice(context, call, target, history);
+    let (answered, load) = if target.node == context.settings.node.id {
+        let body = CallBody::Whole(call.content.clone());
+        let answered = run_at_target(context, &choice, &call.head, body).await;
+        (answered, Some(context.queue.load()))
+    } else {
+        send_hop(context, call, target, &choice).await
+    };
+    guard.end(peer_end(&answered), load);
+    answered
+}
+
+fn peer_end(answered: &Result<Response<WholeBody>, MeshRefusal>) -> PeerEnd {
+    match answered {
+        Ok(response) if response.status().is_server_error() => PeerEnd::Failed,
+        Ok(_) => PeerEnd::Answered,
+        Err(refusal) => match refusal.reason.as_ref() {
+            "full" => PeerEnd::Full,
+            "deadline" | "target-shed" => PeerEnd::Failed,
+            "body-missing" => PeerEnd::Neutral,
+            _ if refusal.fate == CallFate::NotRun => PeerEnd::Unreachable,
+            _ => PeerEnd::Failed,
+        },
+    }
+}
+
+fn hop_choice(
+    context: &MeshContext,
+    call: &EntryCall,
+    target: &TargetEndpoint,
+    history: &AttemptHistory,
+) -> HopChoice {
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let other_may_follow =
+        call.route.idempotent && history.arrivals + 1 < call.route.attempts && !history.last_round;
+    let left = match other_may_follow {
+        true => left.mul_f64(ATTEMPT_PART),
+        false => left,
+    };
+    let weights = weights(&call.route);
+    let short = call.route.objective.mul_f64(PATIENCE_PART);
+    let patience = match history.last_round {
+        true => left,
+        false if target.domain == context.settings.node.failure_domain => short + weights.remote,
+        false => short,
+    };
+    HopChoice {
+        service: call.service.clone(),
+        version: target.version.clone(),
+        route: call.route.name.clone(),
+        rank: call.route.priority,
+        idempotent: call.route.idempotent,
+        caller: context.settings.service.service.clone(),
+        left,
+        patience: patience.min(left),
+    }
+}
+
+type HopResult = (Result<Response<WholeBody>, MeshRefusal>, Option<TargetLoad>);
+
+/// Sends a call to the node beside a target.
+///
+/// A request that must not run twice is held back until the node has admitted it, so that a node that stays
+/// silent before has certainly not run it.
+async fn send_hop(
+    context: &Arc<MeshContext>,
+    call: &EntryCall,
+    target: &TargetEndpoint,
+    choice: &HopChoice,
+) -> HopResult {
+    let gated = !call.route.idempotent && !call.content.is_empty();
+    let gate = gated.then(BodyGate::default);
+    let Some(head) = hop_request(call, target, choice, gated) else {
+        let refusal = MeshRefusal::rejected(StatusCode::BAD_REQUEST, "invalid-name");
+        return (Err(refusal), None);
+    };
+    let begun = Instant::now();
+    let deadline = begun + choice.left;
+    let exchange = exchange_hop(context, head, call.content.clone(), gate.as_ref());
+    tokio::pin!(exchange);
+    if let Some(gate) = &gate {
+        let admission = (begun + choice.patience + ADMISSION_SLACK).min(deadline);
+        match timeout_at(admission.into(), &mut exchange).await {
+            Ok(result) => return with_gate(result, Some(gate)),
+            Err(_) if gate.close_unless_released() => {
+                let refusal = MeshRefusal::not_run("node-silent", NOT_READY_RETRY);
+                return (Err(refusal), None);
+            }
+            Err(_) => {}
+        }
+    }
+    match timeout_at(deadline.into(), &mut exchange).await {
+        Ok(result) => with_gate(result, gate.as_ref()),
+        Err(_) => {
+            let refusal = MeshRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline");
+            (Err(refusal), None)
+        }
+    }
+}
+
+/// Takes a failure for "not run" if the body was never released.
+fn with_gate(result: HopResult, gate: Option<&BodyGate>) -> HopResult {
+    let (answered, load) = result;
+    let answered = answered.map_err(|refusal| match gate {
+        Some(gate) if refusal.reason == "node-broke-off" && gate.close_unless_released() => {
+            MeshRefusal::not_run("node-broke-off-early", NOT_READY_RETRY)
+        }
+        _ => refusal,
+    });
+    (answered, load)
+}
+
+fn hop_request(
+    call: &EntryCall,
+    target: &TargetEndpoint,
+    choice: &HopChoice,
+    gated: bool,
+) -> Option<Request<()>> {
+    let mut request = Request::new(());
+    *request.method_mut() = call.head.method.clone();
+    *request.uri_mut() = peer_uri(target.forward_address, call.head.uri.path_and_query());
+    let mut headers = forwarded_headers(&call.head.headers);
+    headers.insert(CHOICE_HEADER, choice.header_value()?);
+    if gated {
+        headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
+    }
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+async fn exchange_hop(
+    context: &MeshContext,
+    head: Request<()>,
+    content: Bytes,
+    gate: Option<&BodyGate>,
+) -> HopResult {
+    let mut response = match context.hops.send(head, content, gate).await {
+        Ok(response) => response,
+        Err(error) => return (Err(hop_failure(&error)), None),
+    };
+    let load = take_load(response.headers_mut());
+    if let Some(refusal) = MeshRefusal::parse(&response) {
+        return (Err(refusal), load);
+    }
+    let (head, body) = response.into_parts();
+    let answered = match read_whole(body, MAX_ANSWER_BYTES).await {
+        Ok(content) => Ok(Response::from_parts(head, Full::new(content))),
+        Err(_) => Err(MeshRefusal::unknown(
+            StatusCode::BAD_GATEWAY,
+            "node-broke-off",
+        )),
+    };
+    (answered, load)
+}
+
+fn hop_failure(error: &hyper_util::client::legacy::Error) -> MeshRefusal {
+    let failure = crate::target_client::exchange_error(error, "");
+    match failure.fate {
+        crate::retry_budget::AttemptFate::NotRun => {
+            MeshRefusal::not_run("node-unreachable", NOT_READY_RETRY)
+        }
+        _ => MeshRefusal::unknown(StatusCode::BAD_GATEWAY, "node-broke-off"),
+    }
+}
+
+fn report_answer(
+    context: &MeshContext,
+    call: &EntryCall,
+    target: &TargetEndpoint,
+    response: &Response<WholeBody>,
+    history: &AttemptHistory,
+) {
+    context
+        .metrics
+        .count_call(crate::node_metrics::CallOutcome::Answered);
+    let elapsed = call.started.elapsed();
+    if elapsed > call.route.objective || history.asked > 1 {
+        info!(
+            decision = "answer",
+            call = call.call_id,
+            route = call.route.name,
+            node = target.node,
+            status = response.status().as_u16(),
+            asked = history.asked,
+            elapsed_ms = elapsed.as_millis() as u64,
+            config_version = call.config_version,
+            "call answered late or after a retry"
+        );
+    }
+}
+
+fn report_retry(call: &EntryCall, target: &TargetEndpoint, history: &AttemptHistory) {
+    let reason = history
+        .refusal
+        .as_ref()
+        .map(|refusal| refusal.reason.as_ref());
+    info!(
+        decision = "retry",
+        call = call.call_id,
+        route = call.route.name,
+        service = %call.service,
+        node = target.node,
+        reason = reason.unwrap_or("server-error"),
+        arrivals = history.arrivals,
+        left_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+        "another target is asked"
+    );
+}
--- a/src/operator_run.rs
+++ b/src/operator_run.rs
@@ -604,7 +604,7 @@
 fn move_of(resource: &ConfigResource) -> Option<VersionMove> {
     match resource {
         ConfigResource::Split(split) => split.current_move.clone(),
-        ConfigResource::Customer(_) | ConfigResource::Service(_) => None,
+        _ => None,
     }
 }
 
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -16,7 +16,10 @@
     http::{Request, Response, Uri, uri::PathAndQuery},
     hyper::body::Incoming,
     hyper_util::{
-        client::legacy::{Client, Error as ClientError},
+        client::legacy::{
+            Client, Error as ClientError,
+            connect::{CaptureConnection, capture_connection},
+        },
         rt::{TokioExecutor, TokioTimer},
     },
     parking_lot::Mutex,
@@ -158,6 +161,25 @@
         self.connections.in_use()
     }
 
+    /// Changes the number of connections.
+    pub fn resize(&self, connections: u32) {
+        self.connections.resize(connections);
+    }
+
+    /// Sends a request like `send` and returns the connection that carries the answer beside it.
+    pub async fn send_tracked(
+        &self,
+        mut request: Request<ExchangeBody>,
+    ) -> Result<TrackedAnswer, ExchangeError> {
+        let capture = capture_connection(&mut request);
+        let response = self.send(request).await?;
+        let connection = AnswerConnection { capture };
+        Ok(TrackedAnswer {
+            response,
+            connection,
+        })
+    }
+
     /// Sends a request and returns the head of the answer with its body to come.
     pub async fn send(
         &self,
@@ -170,6 +192,28 @@
     }
 }
 
+/// An answer with the connection that carries it.
+pub struct TrackedAnswer {
+    /// Head of the answer with its body to come.
+    pub response: Response<Incoming>,
+    /// Connection that carries it.
+    pub connection: AnswerConnection,
+}
+
+/// Connection that carried an answer.
+pub struct AnswerConnection {
+    capture: CaptureConnection,
+}
+
+impl AnswerConnection {
+    /// Keeps the connection from being used for another request.
+    pub fn poison(&self) {
+        if let Some(connected) = self.capture.connection_metadata().as_ref() {
+            connected.poison();
+        }
+    }
+}
+
 /// Returns the URI of a path at a peer.
 pub fn peer_uri(address: SocketAddr, path: Option<&PathAndQuery>) -> Uri {
     let path = path.map_or("/", PathAndQuery::as_str);
