Flush each answer and close connections only after the client has read

Cause: the HTTP server gathered the flushes of pipelined answers, so the last answer before a close was lost, and a close with unread requests reset the connection.

Change: no gathered flushes; after the last exchange the server shuts its side and drops what still comes for at most 500 ms. Exit 600 ms before the grace period ends.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -7,11 +7,16 @@
     http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, future::Future, time::Duration},
+    std::{
+        convert::Infallible,
+        future::{Future, poll_fn},
+        time::Duration,
+    },
     thiserror::Error,
     tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
-        time::sleep,
+        time::{sleep, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -19,6 +24,12 @@
 /// Longest time for the head of a request; also the longest idle time of a connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time for which a closed connection waits for the client to close its side.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+/// Bytes read at once from a connection whose requests are no longer served.
+const LINGER_BUFFER_BYTES: usize = 2048;
+
 /// Pause after a failed accept, which is mostly a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -73,7 +84,7 @@
 /// Serves HTTP/1.1 until `stop.close` is cancelled; open connections then end after their exchange.
 pub async fn serve<H, F>(listener: TcpListener, stop: ServerStop, handler: H)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Unpin + 'static,
     F: Future<Output = Response<WholeBody>> + Send + 'static,
 {
     loop {
@@ -93,7 +104,7 @@
 
 fn spawn_connection<H, F>(stream: TcpStream, stop: &ServerStop, handler: H)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Unpin + 'static,
     F: Future<Output = Response<WholeBody>> + Send + 'static,
 {
     if let Err(cause) = stream.set_nodelay(true) {
@@ -101,25 +112,43 @@
     }
     let service = service_fn(move |request| {
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        Box::pin(async move { Ok::<_, Infallible>(answer.await) })
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .pipeline_flush(true)
         .serve_connection(TokioIo::new(stream), service);
     let close = stop.close.clone();
     stop.connections.spawn(async move {
-        tokio::pin!(connection);
         let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
+            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
             () = close.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                Pin::new(&mut connection).graceful_shutdown();
+                poll_fn(|context| connection.poll_without_shutdown(context)).await
             }
         };
-        if let Err(cause) = ended {
-            tracing::debug!(step = "serve connection", error = %cause);
+        match ended {
+            Ok(()) => linger(connection.into_parts().io.into_inner()).await,
+            Err(cause) => tracing::debug!(step = "serve connection", error = %cause),
         }
     });
 }
+
+/// Closes a connection so that the last answer arrives.
+///
+/// A socket that is closed with unread bytes, such as further requests of the client, resets the connection, and
+/// the client would lose the answer that is on its way.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut dropped = [0; LINGER_BUFFER_BYTES];
+    let drained =
+        async { while matches!(stream.read(&mut dropped).await, Ok(read) if read > 0) {} };
+    if timeout(LINGER_TIME, drained).await.is_err() {
+        tracing::debug!(
+            step = "close connection",
+            "the client did not close its side in time"
+        );
+    }
+}
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -50,7 +50,7 @@
 const SERVE_PART: f64 = 0.5;
 
 /// Time before the end of the grace period at which a stopping node exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
+const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
 /// A node that could not start.
 #[derive(Debug, Error)]
