Admit calls by the expected end of their answers and hedge slow attempts

Cause: under overload calls waited until their answers were late, so the target spent its slots on answers without value; targets elsewhere were chosen for latency that costs nothing.

Change: a call names the time within which its answer has full value; the queue orders by it and refuses what is expected to end later, by service time per route. The cost of a target rises with the cube of expected latency over that time. Beside a slow attempt another target is asked, and the first stays.

--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -4,9 +4,10 @@
 //! and refused truthfully.
 
 use {
+    crate::ids::RouteName,
     parking_lot::Mutex,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, HashMap},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -19,12 +20,15 @@
 /// Service time assumed before the first call has ended.
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
 
-/// Time by which a call goes before one of the next lower rank that arrived together with it.
-const RANK_STEP: Duration = Duration::from_millis(300);
+/// Time by which a call goes before one of the next lower rank that is due together with it.
+const RANK_STEP: Duration = Duration::from_millis(150);
 
 /// Part of the service time that must be left of a deadline for a call to be worth starting.
 const USEFUL_PART: f64 = 0.6;
 
+/// Routes whose service time is remembered.
+const MAX_ROUTE_TIMES: usize = 1024;
+
 /// Why a call was not admitted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdmissionRefusal {
@@ -57,14 +61,15 @@
     }
 }
 
-/// Order of waiting calls: time of arrival moved by rank, then number.
+/// Order of waiting calls: time at which the answer is due moved by rank, then number.
 type WaiterKey = (Instant, u64);
 
 /// A call that waits.
 #[derive(Debug)]
 struct Waiter {
     admit: oneshot::Sender<()>,
-    deadline: Instant,
+    /// When it is too late to start the call.
+    useful_until: Instant,
 }
 
 #[derive(Debug)]
@@ -73,6 +78,7 @@
     running: u32,
     waiting: BTreeMap<WaiterKey, Waiter>,
     service_time: Duration,
+    route_times: HashMap<RouteName, Duration>,
     next_number: u64,
     closed: bool,
 }
@@ -93,13 +99,17 @@
 
 /// What a call says about itself when it asks for a slot.
 #[derive(Clone, Copy, Debug)]
-pub struct SlotAsk {
+pub struct SlotAsk<'a> {
+    /// Route of the call.
+    pub route: &'a str,
     /// Rank of the call; 0 goes first.
     pub rank: u32,
+    /// Time within which the answer has its full value.
+    pub due: Duration,
     /// When the answer must have ended.
     pub deadline: Instant,
-    /// Longest expected wait that the call accepts.
-    pub patience: Duration,
+    /// Expected time to the end of the answer above which the call is to be refused.
+    pub finish_within: Duration,
 }
 
 impl Default for AdmissionQueue {
@@ -109,6 +119,7 @@
             running: 0,
             waiting: BTreeMap::new(),
             service_time: FIRST_SERVICE_TIME,
+            route_times: HashMap::new(),
             next_number: 0,
             closed: false,
         };
@@ -140,16 +151,23 @@
         self.state.lock().load()
     }
 
-    /// Adds the time that a call took at the target to the average.
-    pub fn note_service_time(&self, elapsed: Duration) {
+    /// Adds the time that a call took at the target to the averages.
+    pub fn note_service_time(&self, route: &str, elapsed: Duration) {
         let mut state = self.state.lock();
-        let old = state.service_time.as_secs_f64();
-        let new = old + SERVICE_TIME_WEIGHT * (elapsed.as_secs_f64() - old);
-        state.service_time = Duration::from_secs_f64(new.max(0.0));
+        state.service_time = averaged(state.service_time, elapsed);
+        match state.route_times.get_mut(route) {
+            Some(known) => *known = averaged(*known, elapsed),
+            None => {
+                if state.route_times.len() >= MAX_ROUTE_TIMES {
+                    state.route_times.clear();
+                }
+                state.route_times.insert(route.to_owned(), elapsed);
+            }
+        }
     }
 
     /// Waits for a slot.
-    pub async fn acquire(&self, ask: SlotAsk) -> Result<SlotPermit, AdmissionRefusal> {
+    pub async fn acquire(&self, ask: SlotAsk<'_>) -> Result<SlotPermit, AdmissionRefusal> {
         let place = match self.enter(ask)? {
             Entry::Admitted(permit) => return Ok(permit),
             Entry::Waiting(place) => place,
@@ -157,7 +175,7 @@
         place.wait().await
     }
 
-    fn enter(&self, ask: SlotAsk) -> Result<Entry, AdmissionRefusal> {
+    fn enter(&self, ask: SlotAsk<'_>) -> Result<Entry, AdmissionRefusal> {
         let now = Instant::now();
         let mut state = self.state.lock();
         if state.closed {
@@ -170,17 +188,25 @@
             };
             return Ok(Entry::Admitted(permit));
         }
-        let wait = state.expected_wait(ask.rank, now);
+        let due = now + ask.due + RANK_STEP * ask.rank;
+        let service = state.route_time(ask.route);
+        let finish = state.expected_wait(due) + service;
         let left = ask.deadline.saturating_duration_since(now);
-        if wait > ask.patience || wait + state.service_time.mul_f64(USEFUL_PART) > left {
+        if finish > ask.finish_within.min(left) {
             return Err(AdmissionRefusal::Full);
         }
         let number = state.next_number;
         state.next_number += 1;
         let (admit, admitted) = oneshot::channel();
-        let key = (now + RANK_STEP * ask.rank, number);
-        let deadline = ask.deadline;
-        state.waiting.insert(key, Waiter { admit, deadline });
+        let key = (due, number);
+        let useful_until = ask.deadline - service.mul_f64(USEFUL_PART).min(left);
+        state.waiting.insert(
+            key,
+            Waiter {
+                admit,
+                useful_until,
+            },
+        );
         Ok(Entry::Waiting(WaitPlace {
             state: self.state.clone(),
             key,
@@ -200,8 +226,13 @@
         }
     }
 
-    fn expected_wait(&self, rank: u32, now: Instant) -> Duration {
-        let before = (now + RANK_STEP * rank, u64::MAX);
+    fn route_time(&self, route: &str) -> Duration {
+        let known = self.route_times.get(route);
+        known.copied().unwrap_or(self.service_time)
+    }
+
+    fn expected_wait(&self, due: Instant) -> Duration {
+        let before = (due, u64::MAX);
         let ahead = self.waiting.range(..before).count() as u32;
         let load = TargetLoad {
             waiting: ahead,
@@ -213,12 +244,11 @@
     /// Gives free slots to waiting calls; those that can no longer be done in time are refused.
     fn admit_next(&mut self) {
         let now = Instant::now();
-        let useful = self.service_time.mul_f64(USEFUL_PART);
         while self.running < self.slots {
             let Some((_, waiter)) = self.waiting.pop_first() else {
                 return;
             };
-            if waiter.deadline < now + useful {
+            if waiter.useful_until < now {
                 continue;
             }
             if waiter.admit.send(()).is_ok() {
@@ -228,6 +258,11 @@
     }
 }
 
+fn averaged(old: Duration, newest: Duration) -> Duration {
+    let (old, newest) = (old.as_secs_f64(), newest.as_secs_f64());
+    Duration::from_secs_f64(old + SERVICE_TIME_WEIGHT * (newest - old))
+}
+
 enum Entry {
     Admitted(SlotPermit),
     Waiting(WaitPlace),
--- a/src/mesh/choice.rs
+++ b/src/mesh/choice.rs
@@ -28,6 +28,12 @@
 /// Part of the service time by which a full target costs more than an empty one, before calls wait.
 const BUSY_PART: f64 = 0.3;
 
+/// Power of the expected latency, relative to the time within which the answer has its full value.
+const LATENESS_POWER: i32 = 3;
+
+/// Time assumed for a call that is late already.
+const SHORTEST_DUE: Duration = Duration::from_millis(50);
+
 /// Random part of the cost, so that entry nodes with the same view do not choose alike.
 const JITTER_PART: f64 = 0.05;
 
@@ -91,14 +97,11 @@
     peers: HashMap<NodeId, PeerLoad>,
 }
 
-/// What a call weighs against each other.
-#[derive(Clone, Copy, Debug)]
-pub struct ChoiceWeights {
-    /// Latency that a target in another failure domain costs, beside its own.
-    pub remote: Duration,
-    /// Latency that a failure costs.
-    pub failure: Duration,
-}
+/// Cost of a target in another failure domain, in parts of the value of an answer.
+const REMOTE_COST: f64 = 0.3;
+
+/// Cost of a target that fails every call, in parts of the value of an answer.
+const FAILURE_COST: f64 = 2.0;
 
 impl PeerLoads {
     /// Counts an attempt as begun.
@@ -129,6 +132,13 @@
         }
     }
 
+    /// Notes that a target was too slow for a call that was then sent elsewhere.
+    pub fn note_slow(&mut self, node: &str, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.note_failure(1.0, now);
+        }
+    }
+
     /// Drops what is known of nodes that are gone, unless calls are still in progress.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.peers
@@ -146,16 +156,16 @@
         candidates: &'a [TargetEndpoint],
         own_domain: &DomainName,
         tried: &[NodeId],
-        weights: ChoiceWeights,
+        due: Duration,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<&'a TargetEndpoint> {
         let mut best: Option<(bool, f64, &TargetEndpoint)> = None;
         for candidate in candidates.iter().filter(|c| !tried.contains(&c.node)) {
             let paused = self.is_paused(&candidate.node, now);
-            let mut cost = self.cost(candidate, weights, now);
+            let mut cost = self.cost(candidate, due, now);
             if &candidate.domain != own_domain {
-                cost += weights.remote.as_secs_f64();
+                cost += REMOTE_COST;
             }
             cost *= 1.0 + JITTER_PART * rng.random::<f64>();
             if best
@@ -173,7 +183,8 @@
         until.is_some_and(|until| now < until)
     }
 
-    fn cost(&self, target: &TargetEndpoint, weights: ChoiceWeights, now: Instant) -> f64 {
+    /// Returns the expected loss of value: little while the answer is far from late, then rising steeply.
+    fn cost(&self, target: &TargetEndpoint, due: Duration, now: Instant) -> f64 {
         let fresh = PeerLoad::default();
         let peer = self.peers.get(&target.node).unwrap_or(&fresh);
         let service = peer.report.service_time.as_secs_f64();
@@ -181,8 +192,9 @@
         let occupied = peer.occupied(now);
         let wait = (occupied + 1.0 - slots).max(0.0) / slots;
         let busy = BUSY_PART * (occupied / slots).min(1.0);
-        let failures = peer.failures_now(now) * weights.failure.as_secs_f64();
-        service * (1.0 + wait + busy) + failures
+        let latency = service * (1.0 + wait + busy);
+        let lateness = latency / due.as_secs_f64().max(SHORTEST_DUE.as_secs_f64());
+        lateness.powi(LATENESS_POWER) + peer.failures_now(now) * FAILURE_COST
     }
 }
 
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         admission::TargetLoad,
-        choice::{ChoiceWeights, PeerEnd},
+        choice::PeerEnd,
         context::MeshContext,
         hop::{BodyGate, CHOICE_HEADER, HopChoice, take_load},
         http::{WholeBodyError, read_whole},
@@ -40,20 +40,24 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(1000));
 
-/// Part of the route's objective that a target in another failure domain costs.
-const REMOTE_PART: f64 = 0.3;
+/// Part of the time to the objective within which a target of the own failure domain must expect to finish, while
+/// others have not been asked.
+const LOCAL_FINISH_PART: f64 = 0.65;
 
-/// Part of the route's objective that a failed attempt costs.
-const FAILURE_PART: f64 = 2.0;
+/// The same for a target of another failure domain.
+const REMOTE_FINISH_PART: f64 = 0.5;
 
-/// Part of the route's objective that a call accepts to wait at the first targets it asks.
-const PATIENCE_PART: f64 = 0.1;
+/// Part of the objective that a call which is late already still gets to finish in.
+const LATE_FINISH_PART: f64 = 0.4;
 
 /// Nodes asked for one call, refusals included.
 const MAX_ASKED: u32 = 8;
 
-/// Part of the time left that an attempt may take while another may follow.
-const ATTEMPT_PART: f64 = 0.55;
+/// Part of the time left after which another target is asked beside a slow one.
+const HEDGE_PART: f64 = 0.5;
+
+/// Time by which a target's node ends a call before the entry node does, so that its refusal is heard.
+const HOP_MARGIN: Duration = Duration::from_millis(10);
 
 /// Time beyond the accepted wait after which a node that has not asked for the body is given up.
 const ADMISSION_SLACK: Duration = Duration::from_millis(250);
@@ -61,6 +65,9 @@
 /// Time before the deadline at which the answer is given up, so that it reaches the caller in time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
+/// Reason for asking another target beside one that takes long.
+const SLOW_REASON: &str = "slow";
+
 /// A call with its route, as far as an attempt needs it.
 struct EntryCall {
     route: Arc<HostRoute>,
@@ -231,7 +238,7 @@
             return end_call(context, call, history);
         };
         history.asked += 1;
-        let ended = attempt(context, call, &target, &history).await;
+        let ended = attempt_hedged(context, call, &target, &mut history).await;
         match ended {
             Ok(response) if !response.status().is_server_error() => {
                 report_answer(context, call, &target, &response, &history);
@@ -250,7 +257,12 @@
                 }
             }
         }
-        report_retry(call, &target, &history);
+        let reason = history
+            .refusal
+            .as_ref()
+            .map(|refusal| refusal.reason.as_ref());
+        let reason = reason.unwrap_or("server-error");
+        report_retry(call, &target, reason, history.arrivals);
     }
 }
 
@@ -328,10 +340,17 @@
     })
 }
 
-fn weights(route: &HostRoute) -> ChoiceWeights {
-    ChoiceWeights {
-        remote: route.objective.mul_f64(REMOTE_PART),
-        failure: route.objective.mul_f64(FAILURE_PART),
+impl EntryCall {
+    /// Returns the time until the answer loses value; a late call gets a part of its objective anew.
+    fn due(&self) -> Duration {
+        let objective = self.route.objective;
+        let left = objective.saturating_sub(self.started.elapsed());
+        left.max(objective.mul_f64(LATE_FINISH_PART))
+    }
+
+    /// Returns the time until the answer is given up.
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
     }
 }
 
@@ -357,7 +376,7 @@
             &eligible,
             &context.settings.node.failure_domain,
             &excluded,
-            weights(&call.route),
+            call.due(),
             Instant::now(),
             &mut rand::rng(),
         )
@@ -402,20 +421,81 @@
     }
 }
 
-async fn attempt(
+/// Runs an attempt; beside one that takes long, another target is asked, and the first good answer counts.
+///
+/// The first attempt goes on while the second is refused or fails, because its target may be at work.
+async fn attempt_hedged(
     context: &Arc<MeshContext>,
     call: &EntryCall,
     target: &TargetEndpoint,
+    history: &mut AttemptHistory,
+) -> Result<Response<WholeBody>, MeshRefusal> {
+    let choice = hop_choice(context, call, target, history);
+    let running = attempt(context, call, target, &choice);
+    tokio::pin!(running);
+    if !call.route.idempotent || history.arrivals + 1 >= call.route.attempts {
+        return running.await;
+    }
+    let hedge_at = Instant::now() + call.left().mul_f64(HEDGE_PART);
+    if let Ok(ended) = timeout_at(hedge_at.into(), &mut running).await {
+        return ended;
+    }
+    context.loads.lock().note_slow(&target.node, Instant::now());
+    let Some(second) = choose_hedge(context, call, target, history) else {
+        return running.await;
+    };
+    let choice = hop_choice(context, call, &second, history);
+    let hedge = attempt(context, call, &second, &choice);
+    tokio::pin!(hedge);
+    tokio::select! {
+        ended = &mut running => return ended,
+        ended = &mut hedge => match ended {
+            Ok(response) if !response.status().is_server_error() => {
+                report_retry(call, &second, SLOW_REASON, history.arrivals);
+                return Ok(response);
+            }
+            Ok(_) => {
+                history.tried.push(second.node.clone());
+                history.arrivals += 1;
+            }
+            Err(refusal) => drop(history.note_refusal(&second, refusal)),
+        },
+    }
+    running.await
+}
+
+/// Chooses the target that is asked beside a slow one; takes a repeat from the budget.
+fn choose_hedge(
+    context: &MeshContext,
+    call: &EntryCall,
+    first: &TargetEndpoint,
     history: &AttemptHistory,
+) -> Option<TargetEndpoint> {
+    let mut excluded = AttemptHistory {
+        tried: history.tried.clone(),
+        full: history.full.clone(),
+        ..AttemptHistory::default()
+    };
+    excluded.full.push(first.node.clone());
+    let second = choose_target(context, call, &mut excluded)?;
+    let is_other = second.node != first.node && !excluded.last_round;
+    let now = Instant::now();
+    (is_other && context.budgets.lock().spend(&call.service, now)).then_some(second)
+}
+
+async fn attempt(
+    context: &Arc<MeshContext>,
+    call: &EntryCall,
+    target: &TargetEndpoint,
+    choice: &HopChoice,
 ) -> Result<Response<WholeBody>, MeshRefusal> {
     let guard = LoadGuard::new(context, &target.node);
-    let choice = hop_choice(context, call, target, history);
     let (answered, load) = if target.node == context.settings.node.id {
         let body = CallBody::Whole(call.content.clone());
-        let answered = run_at_target(context, &choice, &call.head, body).await;
+        let answered = run_at_target(context, choice, &call.head, body).await;
         (answered, Some(context.queue.load()))
     } else {
-        send_hop(context, call, target, &choice).await
+        send_hop(context, call, target, choice).await
     };
     guard.end(peer_end(&answered), load);
     answered
@@ -441,19 +521,13 @@
     target: &TargetEndpoint,
     history: &AttemptHistory,
 ) -> HopChoice {
-    let left = call.deadline.saturating_duration_since(Instant::now());
-    let other_may_follow =
-        call.route.idempotent && history.arrivals + 1 < call.route.attempts && !history.last_round;
-    let left = match other_may_follow {
-        true => left.mul_f64(ATTEMPT_PART),
-        false => left,
-    };
-    let weights = weights(&call.route);
-    let short = call.route.objective.mul_f64(PATIENCE_PART);
-    let patience = match history.last_round {
-        true => left,
-        false if target.domain == context.settings.node.failure_domain => short + weights.remote,
-        false => short,
+    let left = call.left().saturating_sub(HOP_MARGIN);
+    let due = call.due();
+    let is_local = target.domain == context.settings.node.failure_domain;
+    let finish_within = match (history.last_round, is_local) {
+        (true, _) => due,
+        (false, true) => due.mul_f64(LOCAL_FINISH_PART),
+        (false, false) => due.mul_f64(REMOTE_FINISH_PART),
     };
     HopChoice {
         service: call.service.clone(),
@@ -463,7 +537,8 @@
         idempotent: call.route.idempotent,
         caller: context.settings.service.service.clone(),
         left,
-        patience: patience.min(left),
+        due,
+        finish_within: finish_within.min(left),
     }
 }
 
@@ -490,7 +565,7 @@
     let exchange = exchange_hop(context, head, call.content.clone(), gate.as_ref());
     tokio::pin!(exchange);
     if let Some(gate) = &gate {
-        let admission = (begun + choice.patience + ADMISSION_SLACK).min(deadline);
+        let admission = (begun + choice.finish_within + ADMISSION_SLACK).min(deadline);
         match timeout_at(admission.into(), &mut exchange).await {
             Ok(result) => return with_gate(result, Some(gate)),
             Err(_) if gate.close_unless_released() => {
@@ -600,20 +675,16 @@
     }
 }
 
-fn report_retry(call: &EntryCall, target: &TargetEndpoint, history: &AttemptHistory) {
-    let reason = history
-        .refusal
-        .as_ref()
-        .map(|refusal| refusal.reason.as_ref());
+fn report_retry(call: &EntryCall, target: &TargetEndpoint, reason: &str, arrivals: u32) {
     info!(
         decision = "retry",
         call = call.call_id,
         route = call.route.name,
         service = %call.service,
         node = target.node,
-        reason = reason.unwrap_or("server-error"),
-        arrivals = history.arrivals,
-        left_ms = call.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+        reason,
+        arrivals,
+        left_ms = call.left().as_millis() as u64,
         "another target is asked"
     );
 }
--- a/src/mesh/evidence.rs
+++ b/src/mesh/evidence.rs
@@ -48,7 +48,8 @@
         self.ended = true;
         let latency = self.begun.elapsed();
         if !failed {
-            self.context.queue.note_service_time(latency);
+            let queue = &self.context.queue;
+            queue.note_service_time(&self.choice.route, latency);
         }
         let observation = CallObservation {
             key: self.choice.service.clone(),
--- a/src/mesh/hop.rs
+++ b/src/mesh/hop.rs
@@ -65,8 +65,10 @@
     pub caller: ServiceName,
     /// Time left for the answer.
     pub left: Duration,
-    /// Longest expected wait that the call accepts.
-    pub patience: Duration,
+    /// Time left within which the answer has its full value.
+    pub due: Duration,
+    /// Expected time to the end of the answer above which the call is to be refused.
+    pub finish_within: Duration,
 }
 
 impl HopChoice {
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -76,9 +76,11 @@
     let deadline = Instant::now() + choice.left;
     find_instance(context, choice)?;
     let ask = SlotAsk {
+        route: &choice.route,
         rank: choice.rank,
+        due: choice.due,
         deadline,
-        patience: choice.patience,
+        finish_within: choice.finish_within,
     };
     let permit = context.queue.acquire(ask).await.map_err(|refusal| {
         let wait = context.queue.load().expected_wait();
