Choose targets by the service time of the called route

Cause: a target reported one average over all its routes, so a short inner call was expected to take as long as the long calls of the same service, and small differences between targets sent it to other failure domains.

Change: each answer reports the service time of its route; the entry node keeps it by target and route.

--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -49,6 +49,8 @@
     pub slots: u32,
     /// Average time of a call at the target.
     pub service_time: Duration,
+    /// Average time of a call of the route that the load is reported for.
+    pub route_time: Duration,
 }
 
 impl TargetLoad {
@@ -151,6 +153,15 @@
         self.state.lock().load()
     }
 
+    /// Returns the load with the service time of one route.
+    pub fn load_for(&self, route: &str) -> TargetLoad {
+        let state = self.state.lock();
+        TargetLoad {
+            route_time: state.route_time(route),
+            ..state.load()
+        }
+    }
+
     /// Adds the time that a call took at the target to the averages.
     pub fn note_service_time(&self, route: &str, elapsed: Duration) {
         let mut state = self.state.lock();
@@ -223,6 +234,7 @@
             waiting: self.waiting.len() as u32,
             slots: self.slots,
             service_time: self.service_time,
+            route_time: self.service_time,
         }
     }
 
--- a/src/mesh/choice.rs
+++ b/src/mesh/choice.rs
@@ -3,7 +3,7 @@
 use {
     super::admission::TargetLoad,
     crate::{
-        ids::{DomainName, NodeId},
+        ids::{DomainName, NodeId, RouteName},
         membership::TargetEndpoint,
     },
     rand::Rng,
@@ -43,6 +43,23 @@
 /// Time over which the average of failures falls by half without calls.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Routes whose service time is remembered of each target.
+const MAX_ROUTE_TIMES: usize = 1024;
+
+/// Latency assumed of a route that a target has not served yet, as a part of the time to its objective.
+const UNKNOWN_PART: f64 = 0.3;
+
+/// What a call needs of its target.
+#[derive(Clone, Copy, Debug)]
+pub struct CallNeeds<'a> {
+    /// Route of the call.
+    pub route: &'a str,
+    /// Time left within which the answer has its full value.
+    pub due: Duration,
+    /// Failure domain of the entry node.
+    pub own_domain: &'a DomainName,
+}
+
 /// How an attempt at a target ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PeerEnd {
@@ -63,6 +80,7 @@
 struct PeerLoad {
     in_flight: u32,
     report: TargetLoad,
+    route_times: HashMap<RouteName, Duration>,
     reported_at: Option<Instant>,
     sent_since_report: u32,
     failures: f64,
@@ -79,6 +97,7 @@
                 service_time: UNKNOWN_SERVICE_TIME,
                 ..TargetLoad::default()
             },
+            route_times: HashMap::new(),
             reported_at: None,
             sent_since_report: 0,
             failures: 0.0,
@@ -111,15 +130,22 @@
         peer.sent_since_report += 1;
     }
 
+    /// Takes over the load that came with an answer to a call of a route.
+    pub fn take_report(&mut self, node: &str, route: &str, load: TargetLoad, now: Instant) {
+        let peer = self.peers.entry(node.to_owned()).or_default();
+        peer.report = load;
+        peer.reported_at = Some(now);
+        peer.sent_since_report = 0;
+        if peer.route_times.len() >= MAX_ROUTE_TIMES {
+            peer.route_times.clear();
+        }
+        peer.route_times.insert(route.to_owned(), load.route_time);
+    }
+
     /// Counts an attempt as ended.
-    pub fn end(&mut self, node: &str, end: PeerEnd, load: Option<TargetLoad>, now: Instant) {
+    pub fn end(&mut self, node: &str, end: PeerEnd, now: Instant) {
         let peer = self.peers.entry(node.to_owned()).or_default();
         peer.in_flight = peer.in_flight.saturating_sub(1);
-        if let Some(load) = load {
-            peer.report = load;
-            peer.reported_at = Some(now);
-            peer.sent_since_report = 0;
-        }
         match end {
             PeerEnd::Answered => {
                 peer.note_failure(0.0, now);
@@ -154,17 +180,16 @@
     pub fn choose<'a>(
         &self,
         candidates: &'a [TargetEndpoint],
-        own_domain: &DomainName,
         tried: &[NodeId],
-        due: Duration,
+        needs: &CallNeeds<'_>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<&'a TargetEndpoint> {
         let mut best: Option<(bool, f64, &TargetEndpoint)> = None;
         for candidate in candidates.iter().filter(|c| !tried.contains(&c.node)) {
             let paused = self.is_paused(&candidate.node, now);
-            let mut cost = self.cost(candidate, due, now);
-            if &candidate.domain != own_domain {
+            let mut cost = self.cost(candidate, needs, now);
+            if &candidate.domain != needs.own_domain {
                 cost += REMOTE_COST;
             }
             cost *= 1.0 + JITTER_PART * rng.random::<f64>();
@@ -184,7 +209,7 @@
     }
 
     /// Returns the expected loss of value: little while the answer is far from late, then rising steeply.
-    fn cost(&self, target: &TargetEndpoint, due: Duration, now: Instant) -> f64 {
+    fn cost(&self, target: &TargetEndpoint, needs: &CallNeeds<'_>, now: Instant) -> f64 {
         let fresh = PeerLoad::default();
         let peer = self.peers.get(&target.node).unwrap_or(&fresh);
         let service = peer.report.service_time.as_secs_f64();
@@ -192,8 +217,11 @@
         let occupied = peer.occupied(now);
         let wait = (occupied + 1.0 - slots).max(0.0) / slots;
         let busy = BUSY_PART * (occupied / slots).min(1.0);
-        let latency = service * (1.0 + wait + busy);
-        let lateness = latency / due.as_secs_f64().max(SHORTEST_DUE.as_secs_f64());
+        let due = needs.due.max(SHORTEST_DUE).as_secs_f64();
+        let known = peer.route_times.get(needs.route);
+        let own = known.map_or(due * UNKNOWN_PART, Duration::as_secs_f64);
+        let latency = own * (1.0 + busy) + service * wait;
+        let lateness = latency / due;
         lateness.powi(LATENESS_POWER) + peer.failures_now(now) * FAILURE_COST
     }
 }
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         admission::TargetLoad,
-        choice::PeerEnd,
+        choice::{CallNeeds, PeerEnd},
         context::MeshContext,
         hop::{BodyGate, CHOICE_HEADER, HopChoice, take_load},
         http::{WholeBodyError, read_whole},
@@ -12,7 +12,7 @@
     },
     crate::{
         config::{HostRoute, ServiceKey},
-        ids::NodeId,
+        ids::{NodeId, RouteName},
         membership::TargetEndpoint,
         target_client::peer_uri,
     },
@@ -374,9 +374,12 @@
         .lock()
         .choose(
             &eligible,
-            &context.settings.node.failure_domain,
             &excluded,
-            call.due(),
+            &CallNeeds {
+                route: &call.route.name,
+                due: call.due(),
+                own_domain: &context.settings.node.failure_domain,
+            },
             Instant::now(),
             &mut rand::rng(),
         )
@@ -392,15 +395,17 @@
 struct LoadGuard {
     context: Arc<MeshContext>,
     node: NodeId,
+    route: RouteName,
     ended: bool,
 }
 
 impl LoadGuard {
-    fn new(context: &Arc<MeshContext>, node: &NodeId) -> Self {
+    fn new(context: &Arc<MeshContext>, node: &NodeId, route: &RouteName) -> Self {
         context.loads.lock().begin(node);
         Self {
             context: context.clone(),
             node: node.clone(),
+            route: route.clone(),
             ended: false,
         }
     }
@@ -408,7 +413,11 @@
     fn end(mut self, end: PeerEnd, load: Option<TargetLoad>) {
         self.ended = true;
         let now = Instant::now();
-        self.context.loads.lock().end(&self.node, end, load, now);
+        let mut loads = self.context.loads.lock();
+        if let Some(load) = load {
+            loads.take_report(&self.node, &self.route, load, now);
+        }
+        loads.end(&self.node, end, now);
     }
 }
 
@@ -416,7 +425,7 @@
     fn drop(&mut self) {
         if !self.ended {
             let mut loads = self.context.loads.lock();
-            loads.end(&self.node, PeerEnd::Neutral, None, Instant::now());
+            loads.end(&self.node, PeerEnd::Neutral, Instant::now());
         }
     }
 }
@@ -489,11 +498,11 @@
     target: &TargetEndpoint,
     choice: &HopChoice,
 ) -> Result<Response<WholeBody>, MeshRefusal> {
-    let guard = LoadGuard::new(context, &target.node);
+    let guard = LoadGuard::new(context, &target.node, &call.route.name);
     let (answered, load) = if target.node == context.settings.node.id {
         let body = CallBody::Whole(call.content.clone());
         let answered = run_at_target(context, choice, &call.head, body).await;
-        (answered, Some(context.queue.load()))
+        (answered, Some(context.queue.load_for(&call.route.name)))
     } else {
         send_hop(context, call, target, choice).await
     };
--- a/src/mesh/hop.rs
+++ b/src/mesh/hop.rs
@@ -87,8 +87,11 @@
 
 /// Writes the load of a target to an answer.
 pub fn set_load(headers: &mut HeaderMap, load: &TargetLoad) {
-    let micros = load.service_time.as_micros();
-    let text = format!("{},{},{},{micros}", load.running, load.waiting, load.slots);
+    let (mean, route) = (load.service_time.as_micros(), load.route_time.as_micros());
+    let text = format!(
+        "{},{},{},{mean},{route}",
+        load.running, load.waiting, load.slots
+    );
     if let Ok(value) = HeaderValue::from_str(&text) {
         headers.insert(LOAD_HEADER, value);
     }
@@ -104,6 +107,7 @@
         waiting: u32::try_from(next()?).ok()?,
         slots: u32::try_from(next()?).ok()?,
         service_time: Duration::from_micros(next()?),
+        route_time: Duration::from_micros(next()?),
     })
 }
 
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -54,15 +54,13 @@
     request: Request<Incoming>,
 ) -> Response<WholeBody> {
     let (head, body) = request.into_parts();
-    let answered = match HopChoice::parse(&head.headers) {
-        Some(choice) => run_at_target(&context, &choice, &head, CallBody::Coming(body)).await,
-        None => Err(MeshRefusal::rejected(
-            StatusCode::BAD_REQUEST,
-            "invalid-hop",
-        )),
+    let Some(choice) = HopChoice::parse(&head.headers) else {
+        return MeshRefusal::rejected(StatusCode::BAD_REQUEST, "invalid-hop").hop_answer();
     };
+    let answered = run_at_target(&context, &choice, &head, CallBody::Coming(body)).await;
     let mut response = answered.unwrap_or_else(|refusal| refusal.hop_answer());
-    set_load(response.headers_mut(), &context.queue.load());
+    let load = context.queue.load_for(&choice.route);
+    set_load(response.headers_mut(), &load);
     response
 }
 
