--- a/src/mesh/choice.rs
+++ b/src/mesh/choice.rs
@@ -46,9 +46,6 @@
 /// Routes whose service time is remembered of each target.
 const MAX_ROUTE_TIMES: usize = 1024;
 
-/// Latency assumed of a route that a target has not served yet, as a part of the time to its objective.
-const UNKNOWN_PART: f64 = 0.3;
-
 /// What a call needs of its target.
 #[derive(Clone, Copy, Debug)]
 pub struct CallNeeds<'a> {
@@ -219,7 +216,8 @@
         let busy = BUSY_PART * (occupied / slots).min(1.0);
         let due = needs.due.max(SHORTEST_DUE).as_secs_f64();
         let known = peer.route_times.get(needs.route);
-        let own = known.map_or(due * UNKNOWN_PART, Duration::as_secs_f64);
+        // A target that has not served the route yet is tried, or a new one would stay unknown.
+        let own = known.map_or(0.0, Duration::as_secs_f64);
         let latency = own * (1.0 + busy) + service * wait;
         let lateness = latency / due;
         lateness.powi(LATENESS_POWER) + peer.failures_now(now) * FAILURE_COST
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -47,7 +47,7 @@
 /// Part of the grace period for which a stopping node still takes calls.
 ///
 /// Callers learn of the departure by failed readiness checks within this time.
-const SERVE_PART: f64 = 0.5;
+const SERVE_PART: f64 = 0.42;
 
 /// Time before the end of the grace period at which a stopping node exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -3,6 +3,7 @@
 use {
     poplarwing::{
         config::{HostRoute, RouteShare, ServiceKey},
+        membership::TargetEndpoint,
         mesh::{
             admission::TargetLoad,
             choice::{CallNeeds, PeerEnd, PeerLoads},
@@ -13,7 +14,6 @@
             settings::MeshBounds,
             split::RouteSplits,
         },
-        membership::TargetEndpoint,
     },
     rand::{SeedableRng, rngs::StdRng},
     std::{
@@ -92,6 +92,7 @@
 fn an_unreachable_target_is_paused_and_tried_again_later() {
     let now = Instant::now();
     let mut loads = PeerLoads::default();
+    loads.take_report("far", "jobs", load(0, 0), now);
     loads.begin("near");
 
     loads.end("near", PeerEnd::Unreachable, now);
@@ -101,6 +102,29 @@
     assert_eq!(chosen(&loads, &[], later).as_deref(), Some("near"));
 }
 
+/// Guards against a new target that gets no calls because the others are known.
+#[test]
+fn a_target_that_has_not_served_the_route_is_tried() {
+    let now = Instant::now();
+    let mut loads = PeerLoads::default();
+    loads.take_report("near", "jobs", load(0, 0), now);
+    let domain = "bunbury".to_owned();
+    let needs = CallNeeds {
+        route: "jobs",
+        due: Duration::from_millis(500),
+        own_domain: &domain,
+    };
+    let targets = [
+        endpoint("near", "bunbury", "v1"),
+        endpoint("new", "bunbury", "v1"),
+    ];
+
+    let mut rng = StdRng::seed_from_u64(7);
+    let target = loads.choose(&targets, &[], &needs, now, &mut rng);
+
+    assert_eq!(target.map(|target| target.node.as_str()), Some("new"));
+}
+
 /// Guards against a second attempt at the same target.
 #[test]
 fn tried_targets_are_passed_over() {
