Await the peers of a join again only while they are unfinished

Cause: when all peers had answered before the store's head was read, join_fleet polled the finished future again and the node panicked ("async fn resumed after completion"), the usual order of a restart into a healthy fleet.

Change: the future is wrapped in maybe_done. A deterministic test lets the store answer only after all peers.

--- a/src/join.rs
+++ b/src/join.rs
@@ -12,7 +12,7 @@
         settings::NodeSettings,
     },
     derive_more::Display,
-    futures::{StreamExt, stream},
+    futures::{StreamExt, future::maybe_done, stream},
     parking_lot::Mutex,
     rand::{Rng, seq::SliceRandom},
     std::{collections::BTreeSet, future::Future, net::SocketAddr, pin::pin, time::Duration},
@@ -207,7 +207,8 @@
 {
     sleep(random_part(JOIN_JITTER)).await;
     let (failed, mut has_failed) = watch::channel(false);
-    let mut peers = pin!(ask_peers(settings, gossip, board, ledger));
+    // The peers may all have answered before the store does; the future is awaited again after its end.
+    let mut peers = pin!(maybe_done(ask_peers(settings, gossip, board, ledger)));
     let store = ask_store(settings, head, ledger, failed);
     let outage = async {
         peers.as_mut().await;
--- a/tests/join_floor.rs
+++ b/tests/join_floor.rs
@@ -114,6 +114,32 @@
     });
 }
 
+/// Guards against a panic of a node whose peers have all answered before its read of the store succeeds, the usual
+/// order of a restart into a healthy fleet.
+#[tokio::test]
+async fn peers_that_answer_before_the_store_do_not_end_the_join() {
+    let mut peers = peers(&[20, 20, 21]).await;
+    peers.iter_mut().for_each(TestNode::run_gossip);
+    let mut node = TestNode::start("joiner", &addresses(&peers), 1).await;
+    node.run_gossip();
+    let (gossip, board) = (node.gossip.clone(), node.board.clone());
+    // The store answers only after all peers have.
+    let reads = AtomicU32::new(0);
+    let read = || async {
+        if reads.fetch_add(1, Ordering::Relaxed) == 0 {
+            wait_for("all members", || board.members.lock().len() == 4).await;
+            // Lets the peers' part of the join end before the store's.
+            tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        }
+        Ok::<_, &'static str>(22)
+    };
+
+    let cancel = CancellationToken::new();
+    let outcome = find_floor(&node.settings, read, &gossip, &node.board, cancel).await;
+
+    assert_eq!((outcome.source, outcome.floor), (FloorSource::Store, 22));
+}
+
 /// Guards against a node going behind the head of a store that answers.
 #[tokio::test]
 async fn with_the_store_the_floor_is_its_head() {
