Count the objective of a repeated call from its first attempt

Change: the time that a caller has waited is what is missing of the longest deadline named for the route.

Conclusion: right for admission; in the choice of targets it makes inner calls look late and sends them to other failure domains, which comes next.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -5,6 +5,7 @@
 //! refusals are always true.
 
 pub mod admission;
+pub mod asked_time;
 pub mod choice;
 pub mod context;
 pub mod entry;
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,13 +1,13 @@
 //! State of a node that its servers and controllers share.
 //!
-//! Lock order: `registry`, `moves`, then those of `board`, then `loads`, `budgets`, `splits`. No lock is held
+//! Lock order: `registry`, `moves`, then those of `board`, then `loads`, `budgets`, `splits`, `asked`. No lock is held
 //! across an await.
 
 use {
     super::{
-        admission::AdmissionQueue, choice::PeerLoads, hop::HopClient, move_board::MoveBoard,
-        registry::TargetRegistry, retry_share::RetryShares, settings::MeshSettings,
-        split::RouteSplits,
+        admission::AdmissionQueue, asked_time::AskedTimes, choice::PeerLoads, hop::HopClient,
+        move_board::MoveBoard, registry::TargetRegistry, retry_share::RetryShares,
+        settings::MeshSettings, split::RouteSplits,
     },
     crate::{
         blackboard::Blackboard, gossip::GossipNode, node_metrics::NodeMetrics,
@@ -50,6 +50,8 @@
     pub budgets: Mutex<RetryShares>,
     /// Division of routes among services.
     pub splits: Mutex<RouteSplits>,
+    /// Deadlines that callers name.
+    pub asked: Mutex<AskedTimes>,
     leaving: AtomicBool,
 }
 
@@ -77,6 +79,7 @@
             loads: Mutex::default(),
             budgets: Mutex::new(budgets),
             splits: Mutex::default(),
+            asked: Mutex::default(),
             leaving: AtomicBool::new(false),
         }
     }
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -77,6 +77,8 @@
     call_id: String,
     config_version: u64,
     started: Instant,
+    /// Time that the caller waited in earlier attempts.
+    waited_before: Duration,
     deadline: Instant,
     draw: u32,
 }
@@ -156,6 +158,9 @@
         .ok_or_else(|| MeshRefusal::rejected(StatusCode::NOT_FOUND, "no-route"))?;
     let asked = asked_time(context, request.headers())?;
     let allowed = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
+    let waited_before = asked.map_or(Duration::ZERO, |asked| {
+        context.asked.lock().waited_before(&route.name, asked)
+    });
     let deadline = started + allowed.saturating_sub(DEADLINE_MARGIN);
     let limit = config.intake().map_or(MAX_REQUEST_BYTES, |limits| {
         MAX_REQUEST_BYTES.min(limits.body_bytes as usize)
@@ -178,6 +183,7 @@
         call_id,
         config_version,
         started,
+        waited_before,
         deadline,
         draw,
     })
@@ -344,7 +350,8 @@
     /// Returns the time until the answer loses value; a late call gets a part of its objective anew.
     fn due(&self) -> Duration {
         let objective = self.route.objective;
-        let left = objective.saturating_sub(self.started.elapsed());
+        let waited = self.waited_before + self.started.elapsed();
+        let left = objective.saturating_sub(waited);
         left.max(objective.mul_f64(LATE_FINISH_PART))
     }
 
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -6,6 +6,7 @@
         membership::TargetEndpoint,
         mesh::{
             admission::TargetLoad,
+            asked_time::AskedTimes,
             choice::{CallNeeds, PeerEnd, PeerLoads},
             move_board::MoveBoard,
             move_schedule::{ScheduledStep, scheduled_step},
@@ -153,6 +154,17 @@
     }
 }
 
+/// Guards against counting the objective of a repeated call from its last attempt.
+#[test]
+fn a_repeated_call_has_waited_what_is_missing_of_its_deadline() {
+    let mut asked = AskedTimes::default();
+    let millis = Duration::from_millis;
+
+    assert_eq!(asked.waited_before("jobs", millis(1200)), millis(0));
+    assert_eq!(asked.waited_before("jobs", millis(900)), millis(300));
+    assert_eq!(asked.waited_before("other", millis(900)), millis(0));
+}
+
 /// Guards against a split whose parts stray from their weights over few calls.
 #[test]
 fn a_split_meets_its_weights_over_twenty_calls() {
