Weigh targets by the whole objective of a route

Cause: with the waited time taken off, inner calls near their parent's deadline found the own failure domain too slow and went elsewhere.

Change: the choice of targets uses the route's objective; admission keeps using what is left of it.

--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -384,7 +384,7 @@
             &excluded,
             &CallNeeds {
                 route: &call.route.name,
-                due: call.due(),
+                due: call.route.objective,
                 own_domain: &context.settings.node.failure_domain,
             },
             Instant::now(),
