Read clients ahead so that their departure is seen behind waiting requests

Cause: the HTTP server reads a connection only when it wants bytes.

Change: each connection is read ahead into a bounded buffer; the end of the client's side drops its requests at once.

Conclusion: traced and mended.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod asked_time;
 pub mod choice;
+pub mod client_io;
 pub mod context;
 pub mod entry;
 pub mod evidence;
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -1,20 +1,29 @@
 //! HTTP/1.1 server of a node and the reading of whole bodies.
 
 use {
-    super::refusal::WholeBody,
+    super::{
+        client_io::{ClientIo, ReadAhead},
+        refusal::WholeBody,
+    },
     bytes::{Bytes, BytesMut},
     http::{Request, Response},
     http_body_util::BodyExt,
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        body::Incoming,
+        server::conn::http1,
+        service::{HttpService, service_fn},
+    },
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
         convert::Infallible,
+        error::Error,
         future::{Future, poll_fn},
+        pin::{Pin, pin},
         time::Duration,
     },
     thiserror::Error,
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
+        io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
         time::{sleep, timeout},
     },
@@ -27,9 +36,6 @@
 /// Time for which a closed connection waits for the client to close its side.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
-/// Bytes read at once from a connection whose requests are no longer served.
-const LINGER_BUFFER_BYTES: usize = 2048;
-
 /// Pause after a failed accept, which is mostly a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -114,38 +120,63 @@
         let answer = handler(request);
         Box::pin(async move { Ok::<_, Infallible>(answer.await) })
     });
-    let mut connection = http1::Builder::new()
+    let (reader, writer) = stream.into_split();
+    let ahead = ReadAhead::default();
+    let io = ClientIo::new(ahead.clone(), writer);
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(io), service);
     let close = stop.close.clone();
     stop.connections.spawn(async move {
-        let ended = tokio::select! {
-            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
-            () = close.cancelled() => {
-                Pin::new(&mut connection).graceful_shutdown();
-                poll_fn(|context| connection.poll_without_shutdown(context)).await
-            }
+        let mut pump = pin!(ahead.fill_from(reader));
+        let served = tokio::select! {
+            served = serve_until_closed(connection, close) => served,
+            // The client has left: what it asked for is dropped, also what has not been looked at.
+            () = &mut pump => return,
         };
-        match ended {
-            Ok(()) => linger(connection.into_parts().io.into_inner()).await,
-            Err(cause) => tracing::debug!(step = "serve connection", error = %cause),
+        if let Some(io) = served {
+            linger(io, &ahead, pump).await;
         }
     });
 }
 
+/// Serves a connection to its end; gives its stream back if it ended in order.
+async fn serve_until_closed<S>(
+    mut connection: http1::Connection<TokioIo<ClientIo>, S>,
+    close: CancellationToken,
+) -> Option<ClientIo>
+where
+    S: HttpService<Incoming, ResBody = WholeBody> + Unpin,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    S::Future: Unpin,
+{
+    let ended = tokio::select! {
+        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
+        () = close.cancelled() => {
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|context| connection.poll_without_shutdown(context)).await
+        }
+    };
+    match ended {
+        Ok(()) => Some(connection.into_parts().io.into_inner()),
+        Err(cause) => {
+            tracing::debug!(step = "serve connection", error = %cause);
+            None
+        }
+    }
+}
+
 /// Closes a connection so that the last answer arrives.
 ///
 /// A socket that is closed with unread bytes, such as further requests of the client, resets the connection, and
 /// the client would lose the answer that is on its way.
-async fn linger(mut stream: TcpStream) {
-    if stream.shutdown().await.is_err() {
+async fn linger(mut io: ClientIo, ahead: &ReadAhead, pump: Pin<&mut impl Future<Output = ()>>) {
+    if io.shutdown().await.is_err() {
         return;
     }
-    let mut dropped = [0; LINGER_BUFFER_BYTES];
-    let drained =
-        async { while matches!(stream.read(&mut dropped).await, Ok(read) if read > 0) {} };
-    if timeout(LINGER_TIME, drained).await.is_err() {
+    ahead.discard();
+    if timeout(LINGER_TIME, pump).await.is_err() {
         tracing::debug!(
             step = "close connection",
             "the client did not close its side in time"
