Split the entry of calls from their attempts and drop unused fields

Change: the call and the attempt have files of their own; unused headers, bounds and fields are removed. No behaviour changes.

Conclusion: the tests of the mesh and of the platform pass.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -1,15 +1,17 @@
 //! Node beside a target whose operator sets routes and moves through the platform's store.
 //!
-//! A call takes two steps: the entry node chooses a target (`entry`, `choice`), and the node beside that target
-//! admits the call and exchanges it (`target`, `admission`). Only the second step reaches a target, so its
+//! A call takes two steps: the entry node chooses a target (`entry`, `attempt`, `choice`), and the node beside that
+//! target admits the call and exchanges it (`target`, `admission`). Only the second step reaches a target, so its
 //! refusals are always true.
 
 pub mod admission;
 pub mod asked_time;
+pub mod attempt;
 pub mod choice;
 pub mod client_io;
 pub mod context;
 pub mod entry;
+pub mod entry_call;
 pub mod evidence;
 pub mod hop;
 pub mod http;
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -2,27 +2,21 @@
 
 use {
     super::{
-        admission::TargetLoad,
-        choice::{CallNeeds, PeerEnd},
+        attempt::{attempt, hop_choice},
+        choice::CallNeeds,
         context::MeshContext,
-        hop::{BodyGate, CHOICE_HEADER, HopChoice, take_load},
+        entry_call::EntryCall,
         http::{WholeBodyError, read_whole},
         refusal::{CallFate, MeshRefusal, WholeBody},
-        target::{CallBody, MAX_ANSWER_BYTES, MAX_REQUEST_BYTES, forwarded_headers, run_at_target},
-    },
-    crate::{
-        config::{HostRoute, ServiceKey},
-        ids::{NodeId, RouteName},
-        membership::TargetEndpoint,
-        target_client::peer_uri,
+        target::MAX_REQUEST_BYTES,
     },
+    crate::{ids::NodeId, membership::TargetEndpoint, node_metrics::CallOutcome},
     bytes::Bytes,
     http::{
-        HeaderMap, HeaderValue, Request, Response, StatusCode,
-        header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST},
+        HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
+        header::{CONNECTION, CONTENT_LENGTH, HOST},
         request::Parts,
     },
-    http_body_util::Full,
     hyper::body::Incoming,
     rand::Rng,
     std::{
@@ -40,49 +34,18 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(1000));
 
-/// Part of the time to the objective within which a target of the own failure domain must expect to finish, while
-/// others have not been asked.
-const LOCAL_FINISH_PART: f64 = 0.65;
-
-/// The same for a target of another failure domain.
-const REMOTE_FINISH_PART: f64 = 0.5;
-
-/// Part of the objective that a call which is late already still gets to finish in.
-const LATE_FINISH_PART: f64 = 0.4;
-
 /// Nodes asked for one call, refusals included.
 const MAX_ASKED: u32 = 8;
 
 /// Part of the time left after which another target is asked beside a slow one.
 const HEDGE_PART: f64 = 0.5;
 
-/// Time by which a target's node ends a call before the entry node does, so that its refusal is heard.
-const HOP_MARGIN: Duration = Duration::from_millis(10);
-
-/// Time beyond the accepted wait after which a node that has not asked for the body is given up.
-const ADMISSION_SLACK: Duration = Duration::from_millis(250);
-
 /// Time before the deadline at which the answer is given up, so that it reaches the caller in time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
 /// Reason for asking another target beside one that takes long.
 const SLOW_REASON: &str = "slow";
 
-/// A call with its route, as far as an attempt needs it.
-struct EntryCall {
-    route: Arc<HostRoute>,
-    service: ServiceKey,
-    head: Parts,
-    content: Bytes,
-    call_id: String,
-    config_version: u64,
-    started: Instant,
-    /// Time that the caller waited in earlier attempts.
-    waited_before: Duration,
-    deadline: Instant,
-    draw: u32,
-}
-
 /// What the attempts of a call have led to so far.
 #[derive(Default)]
 struct AttemptHistory {
@@ -136,7 +99,7 @@
     response
 }
 
-fn text_of(headers: &HeaderMap, name: &http::HeaderName) -> String {
+fn text_of(headers: &HeaderMap, name: &HeaderName) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     value.unwrap_or_default().to_owned()
 }
@@ -241,7 +204,7 @@
     context.budgets.lock().earn(&call.service, Instant::now());
     loop {
         let Some(target) = choose_target(context, call, &mut history) else {
-            return end_call(context, call, history);
+            return end_call(call, history);
         };
         history.asked += 1;
         let ended = attempt_hedged(context, call, &target, &mut history).await;
@@ -253,13 +216,13 @@
             Ok(response) => {
                 history.note_error(&target, response);
                 if !may_repeat(context, call, &history, true) {
-                    return end_call(context, call, history);
+                    return end_call(call, history);
                 }
             }
             Err(refusal) => {
                 let arrived = history.note_refusal(&target, refusal);
                 if !may_repeat(context, call, &history, arrived) {
-                    return end_call(context, call, history);
+                    return end_call(call, history);
                 }
             }
         }
@@ -316,7 +279,6 @@
 
 /// Returns what the caller gets when no further attempt is made.
 fn end_call(
-    context: &MeshContext,
     call: &EntryCall,
     mut history: AttemptHistory,
 ) -> Result<Response<WholeBody>, MeshRefusal> {
@@ -338,7 +300,6 @@
     let (shortest, longest) = RETRY_AFTER_RANGE;
     let wait = refusal.retry_after.unwrap_or(shortest);
     let wait = wait.clamp(shortest, longest).min(left / 3);
-    let _ = context;
     Err(MeshRefusal {
         status: StatusCode::SERVICE_UNAVAILABLE,
         retry_after: Some(wait),
@@ -346,21 +307,6 @@
     })
 }
 
-impl EntryCall {
-    /// Returns the time until the answer loses value; a late call gets a part of its objective anew.
-    fn due(&self) -> Duration {
-        let objective = self.route.objective;
-        let waited = self.waited_before + self.started.elapsed();
-        let left = objective.saturating_sub(waited);
-        left.max(objective.mul_f64(LATE_FINISH_PART))
-    }
-
-    /// Returns the time until the answer is given up.
-    fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-}
-
 /// Chooses the next target; after all have refused for lack of room, the best of them is asked once more.
 fn choose_target(
     context: &MeshContext,
@@ -398,45 +344,6 @@
     chosen
 }
 
-/// Counts an attempt in the loads from its start to its end; a dropped guard says nothing of the target.
-struct LoadGuard {
-    context: Arc<MeshContext>,
-    node: NodeId,
-    route: RouteName,
-    ended: bool,
-}
-
-impl LoadGuard {
-    fn new(context: &Arc<MeshContext>, node: &NodeId, route: &RouteName) -> Self {
-        context.loads.lock().begin(node);
-        Self {
-            context: context.clone(),
-            node: node.clone(),
-            route: route.clone(),
-            ended: false,
-        }
-    }
-
-    fn end(mut self, end: PeerEnd, load: Option<TargetLoad>) {
-        self.ended = true;
-        let now = Instant::now();
-        let mut loads = self.context.loads.lock();
-        if let Some(load) = load {
-            loads.take_report(&self.node, &self.route, load, now);
-        }
-        loads.end(&self.node, end, now);
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        if !self.ended {
-            let mut loads = self.context.loads.lock();
-            loads.end(&self.node, PeerEnd::Neutral, Instant::now());
-        }
-    }
-}
-
 /// Runs an attempt; beside one that takes long, another target is asked, and the first good answer counts.
 ///
 /// The first attempt goes on while the second is refused or fails, because its target may be at work.
@@ -446,7 +353,7 @@
     target: &TargetEndpoint,
     history: &mut AttemptHistory,
 ) -> Result<Response<WholeBody>, MeshRefusal> {
-    let choice = hop_choice(context, call, target, history);
+    let choice = hop_choice(context, call, target, history.last_round);
     let running = attempt(context, call, target, &choice);
     tokio::pin!(running);
     if !call.route.idempotent || history.arrivals + 1 >= call.route.attempts {
@@ -460,7 +367,7 @@
     let Some(second) = choose_hedge(context, call, target, history) else {
         return running.await;
     };
-    let choice = hop_choice(context, call, &second, history);
+    let choice = hop_choice(context, call, &second, history.last_round);
     let hedge = attempt(context, call, &second, &choice);
     tokio::pin!(hedge);
     tokio::select! {
@@ -499,172 +406,6 @@
     (is_other && context.budgets.lock().spend(&call.service, now)).then_some(second)
 }
 
-async fn attempt(
-    context: &Arc<MeshContext>,
-    call: &EntryCall,
-    target: &TargetEndpoint,
-    choice: &HopChoice,
-) -> Result<Response<WholeBody>, MeshRefusal> {
-    let guard = LoadGuard::new(context, &target.node, &call.route.name);
-    let (answered, load) = if target.node == context.settings.node.id {
-        let body = CallBody::Whole(call.content.clone());
-        let answered = run_at_target(context, choice, &call.head, body).await;
-        (answered, Some(context.queue.load_for(&call.route.name)))
-    } else {
-        send_hop(context, call, target, choice).await
-    };
-    guard.end(peer_end(&answered), load);
-    answered
-}
-
-fn peer_end(answered: &Result<Response<WholeBody>, MeshRefusal>) -> PeerEnd {
-    match answered {
-        Ok(response) if response.status().is_server_error() => PeerEnd::Failed,
-        Ok(_) => PeerEnd::Answered,
-        Err(refusal) => match refusal.reason.as_ref() {
-            "full" => PeerEnd::Full,
-            "deadline" | "target-shed" => PeerEnd::Failed,
-            "body-missing" => PeerEnd::Neutral,
-            _ if refusal.fate == CallFate::NotRun => PeerEnd::Unreachable,
-            _ => PeerEnd::Failed,
-        },
-    }
-}
-
-fn hop_choice(
-    context: &MeshContext,
-    call: &EntryCall,
-    target: &TargetEndpoint,
-    history: &AttemptHistory,
-) -> HopChoice {
-    let left = call.left().saturating_sub(HOP_MARGIN);
-    let due = call.due();
-    let is_local = target.domain == context.settings.node.failure_domain;
-    let finish_within = match (history.last_round, is_local) {
-        (true, _) => due,
-        (false, true) => due.mul_f64(LOCAL_FINISH_PART),
-        (false, false) => due.mul_f64(REMOTE_FINISH_PART),
-    };
-    HopChoice {
-        service: call.service.clone(),
-        version: target.version.clone(),
-        route: call.route.name.clone(),
-        rank: call.route.priority,
-        idempotent: call.route.idempotent,
-        caller: context.settings.service.service.clone(),
-        left,
-        due,
-        finish_within: finish_within.min(left),
-    }
-}
-
-type HopResult = (Result<Response<WholeBody>, MeshRefusal>, Option<TargetLoad>);
-
-/// Sends a call to the node beside a target.
-///
-/// A request that must not run twice is held back until the node has admitted it, so that a node that stays
-/// silent before has certainly not run it.
-async fn send_hop(
-    context: &Arc<MeshContext>,
-    call: &EntryCall,
-    target: &TargetEndpoint,
-    choice: &HopChoice,
-) -> HopResult {
-    let gated = !call.route.idempotent && !call.content.is_empty();
-    let gate = gated.then(BodyGate::default);
-    let Some(head) = hop_request(call, target, choice, gated) else {
-        let refusal = MeshRefusal::rejected(StatusCode::BAD_REQUEST, "invalid-name");
-        return (Err(refusal), None);
-    };
-    let begun = Instant::now();
-    let deadline = begun + choice.left;
-    let exchange = exchange_hop(context, head, call.content.clone(), gate.as_ref());
-    tokio::pin!(exchange);
-    if let Some(gate) = &gate {
-        let admission = (begun + choice.finish_within + ADMISSION_SLACK).min(deadline);
-        match timeout_at(admission.into(), &mut exchange).await {
-            Ok(result) => return with_gate(result, Some(gate)),
-            Err(_) if gate.close_unless_released() => {
-                let refusal = MeshRefusal::not_run("node-silent", NOT_READY_RETRY);
-                return (Err(refusal), None);
-            }
-            Err(_) => {}
-        }
-    }
-    match timeout_at(deadline.into(), &mut exchange).await {
-        Ok(result) => with_gate(result, gate.as_ref()),
-        Err(_) => {
-            let refusal = MeshRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline");
-            (Err(refusal), None)
-        }
-    }
-}
-
-/// Takes a failure for "not run" if the body was never released.
-fn with_gate(result: HopResult, gate: Option<&BodyGate>) -> HopResult {
-    let (answered, load) = result;
-    let answered = answered.map_err(|refusal| match gate {
-        Some(gate) if refusal.reason == "node-broke-off" && gate.close_unless_released() => {
-            MeshRefusal::not_run("node-broke-off-early", NOT_READY_RETRY)
-        }
-        _ => refusal,
-    });
-    (answered, load)
-}
-
-fn hop_request(
-    call: &EntryCall,
-    target: &TargetEndpoint,
-    choice: &HopChoice,
-    gated: bool,
-) -> Option<Request<()>> {
-    let mut request = Request::new(());
-    *request.method_mut() = call.head.method.clone();
-    *request.uri_mut() = peer_uri(target.forward_address, call.head.uri.path_and_query());
-    let mut headers = forwarded_headers(&call.head.headers);
-    headers.insert(CHOICE_HEADER, choice.header_value()?);
-    if gated {
-        headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
-    }
-    *request.headers_mut() = headers;
-    Some(request)
-}
-
-async fn exchange_hop(
-    context: &MeshContext,
-    head: Request<()>,
-    content: Bytes,
-    gate: Option<&BodyGate>,
-) -> HopResult {
-    let mut response = match context.hops.send(head, content, gate).await {
-        Ok(response) => response,
-        Err(error) => return (Err(hop_failure(&error)), None),
-    };
-    let load = take_load(response.headers_mut());
-    if let Some(refusal) = MeshRefusal::parse(&response) {
-        return (Err(refusal), load);
-    }
-    let (head, body) = response.into_parts();
-    let answered = match read_whole(body, MAX_ANSWER_BYTES).await {
-        Ok(content) => Ok(Response::from_parts(head, Full::new(content))),
-        Err(_) => Err(MeshRefusal::unknown(
-            StatusCode::BAD_GATEWAY,
-            "node-broke-off",
-        )),
-    };
-    (answered, load)
-}
-
-fn hop_failure(error: &hyper_util::client::legacy::Error) -> MeshRefusal {
-    let failure = crate::target_client::exchange_error(error, "");
-    match failure.fate {
-        crate::retry_budget::AttemptFate::NotRun => {
-            MeshRefusal::not_run("node-unreachable", NOT_READY_RETRY)
-        }
-        _ => MeshRefusal::unknown(StatusCode::BAD_GATEWAY, "node-broke-off"),
-    }
-}
-
 fn report_answer(
     context: &MeshContext,
     call: &EntryCall,
@@ -672,9 +413,7 @@
     response: &Response<WholeBody>,
     history: &AttemptHistory,
 ) {
-    context
-        .metrics
-        .count_call(crate::node_metrics::CallOutcome::Answered);
+    context.metrics.count_call(CallOutcome::Answered);
     let elapsed = call.started.elapsed();
     if elapsed > call.route.objective || history.asked > 1 {
         info!(
--- a/src/mesh/hop.rs
+++ b/src/mesh/hop.rs
@@ -59,8 +59,6 @@
     pub route: RouteName,
     /// Rank of the route.
     pub rank: u32,
-    /// Whether the call may run more than once.
-    pub idempotent: bool,
     /// Service in whose name the call is made.
     pub caller: ServiceName,
     /// Time left for the answer.
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -4,7 +4,7 @@
     super::{
         context::MeshContext,
         entry::answer_call,
-        http::{ServerStop, serve},
+        http::{ServerStop, read_whole, serve},
         move_driver::drive_moves,
         orders::{StoreClock, follow_moves, follow_orders},
         peers::find_peers,
@@ -18,6 +18,7 @@
         blackboard::Blackboard,
         config_sync::serve_sync,
         gossip::GossipNode,
+        membership::MemberState,
         node_metrics::{MetricsError, NodeMetrics},
     },
     bytes::Bytes,
@@ -313,7 +314,7 @@
     request: Request<Incoming>,
 ) -> Response<WholeBody> {
     let (head, body) = request.into_parts();
-    let content = match super::http::read_whole(body, MAX_HEARTBEAT_BYTES).await {
+    let content = match read_whole(body, MAX_HEARTBEAT_BYTES).await {
         Ok(content) => content,
         Err(cause) => {
             info!(step = "read heartbeat", error = %cause, "heartbeat not taken");
@@ -396,7 +397,7 @@
             let members = context.board.members.lock();
             let alive = members
                 .iter()
-                .filter(|record| record.state == crate::membership::MemberState::Alive);
+                .filter(|record| record.state == MemberState::Alive);
             alive.count()
         };
         context.budgets.lock().set_nodes(nodes);
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -37,8 +37,6 @@
 /// Bounds that the operator sets for the whole fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MeshBounds {
-    /// Time from the acknowledgement of a target's departure to the last call that reaches it.
-    pub drain: Duration,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
     /// Repeats allowed per call, over the whole fleet.
@@ -47,8 +45,6 @@
     pub retry_window: Duration,
     /// Repeats of a service allowed in each window beside the ratio, over the whole fleet.
     pub retry_extra: f64,
-    /// Largest share of a service's calls that a bad version may receive during its move.
-    pub exposure_share: f64,
 }
 
 /// Names of the headers that callers and targets use.
@@ -62,8 +58,6 @@
     pub signature: HeaderName,
     /// Instance that a request is meant for.
     pub expected_instance: HeaderName,
-    /// Load of a target: running, waiting, slots.
-    pub load: HeaderName,
     /// Says that the target did not run the request.
     pub not_run: HeaderName,
     /// Service that made a call.
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -196,12 +196,10 @@
 
 fn bounds() -> MeshBounds {
     MeshBounds {
-        drain: Duration::from_secs(2),
         grace: Duration::from_secs(6),
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_extra: 64.0,
-        exposure_share: 0.1,
     }
 }
 
