Log failed exchanges by call, bound call lines, measure call latency

Cause: the log of an entry node named the reason of a failure but nothing of what the target's node saw, and an overload could write thousands of lines.

Change: the target's node logs an exchange without an answer under the call's identifier with instance, version and load; at most 100 lines about calls a second, with a count of those left out; a histogram of call latency by outcome.

--- a/src/event_log.rs
+++ b/src/event_log.rs
@@ -7,9 +7,11 @@
         route_table::{TargetReason, VersionReason},
         settings::LogSection,
     },
+    parking_lot::Mutex,
     std::{
         io,
         sync::atomic::{AtomicU32, AtomicU64, Ordering},
+        time::{Duration, Instant},
     },
     thiserror::Error,
     tracing::{Subscriber, info, warn},
@@ -23,6 +25,12 @@
 /// Lines that wait for the standard output stream at most.
 const STDOUT_LINES: usize = 4096;
 
+/// Time over which lines about calls are counted.
+const LIMITER_WINDOW: Duration = Duration::from_secs(1);
+
+/// Lines about calls in one window at most.
+const LIMITER_LINES: u32 = 100;
+
 /// Sampler of the process, set by `init_log`.
 static CALL_SAMPLER: CallSampler = CallSampler::new(FULL_SAMPLE_PERMILLE as u32);
 
@@ -71,6 +79,42 @@
     }
 }
 
+/// Bounds the log lines about calls, and counts those that are left out.
+#[derive(Debug, Default)]
+pub struct LineLimiter {
+    state: Mutex<LimiterState>,
+}
+
+#[derive(Debug, Default)]
+struct LimiterState {
+    begun: Option<Instant>,
+    lines: u32,
+    left_out: u64,
+}
+
+impl LineLimiter {
+    /// Returns whether a line may be written now; says once a second how many were left out.
+    pub fn take(&self, now: Instant) -> bool {
+        let mut state = self.state.lock();
+        let is_over = |begun| now.saturating_duration_since(begun) >= LIMITER_WINDOW;
+        if state.begun.is_none_or(is_over) {
+            if state.left_out > 0 {
+                info!(left_out = state.left_out, "lines about calls were left out");
+            }
+            *state = LimiterState {
+                begun: Some(now),
+                ..LimiterState::default()
+            };
+        }
+        if state.lines >= LIMITER_LINES {
+            state.left_out += 1;
+            return false;
+        }
+        state.lines += 1;
+        true
+    }
+}
+
 /// How a call was routed, or why it was refused.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RouteDecision {
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -10,8 +10,8 @@
         settings::MeshSettings, split::RouteSplits,
     },
     crate::{
-        blackboard::Blackboard, gossip::GossipNode, node_metrics::NodeMetrics,
-        target_client::TargetClient,
+        blackboard::Blackboard, event_log::LineLimiter, gossip::GossipNode,
+        node_metrics::NodeMetrics, target_client::TargetClient,
     },
     parking_lot::Mutex,
     std::sync::{
@@ -52,6 +52,8 @@
     pub splits: Mutex<RouteSplits>,
     /// Deadlines that callers name.
     pub asked: Mutex<AskedTimes>,
+    /// Bound of the log lines about calls.
+    pub call_lines: LineLimiter,
     leaving: AtomicBool,
 }
 
@@ -80,6 +82,7 @@
             budgets: Mutex::new(budgets),
             splits: Mutex::default(),
             asked: Mutex::default(),
+            call_lines: LineLimiter::default(),
             leaving: AtomicBool::new(false),
         }
     }
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -75,10 +75,14 @@
         Ok(call) => run_call(&context, &call).await,
         Err(refusal) => Err(refusal),
     };
-    let mut response = match answered {
+    count_end(&context, &answered, started.elapsed());
+    let response = match answered {
         Ok(response) => response,
         Err(refusal) => {
             context.metrics.count_refusal(refusal.reason.clone());
+            if !context.call_lines.take(Instant::now()) {
+                return closing(&context, refusal.answer());
+            }
             warn!(
                 decision = "refuse",
                 call = call_id,
@@ -92,6 +96,25 @@
             refusal.answer()
         }
     };
+    closing(&context, response)
+}
+
+fn count_end(
+    context: &MeshContext,
+    answered: &Result<Response<WholeBody>, MeshRefusal>,
+    elapsed: Duration,
+) {
+    let outcome = match answered {
+        Ok(_) => CallOutcome::Answered,
+        Err(refusal) if refusal.fate == CallFate::NotRun => CallOutcome::NotRun,
+        Err(_) => CallOutcome::Unknown,
+    };
+    context.metrics.count_call(outcome);
+    context.metrics.record_call_latency(elapsed, outcome);
+}
+
+/// Asks the caller to close the connection if the node leaves.
+fn closing(context: &MeshContext, mut response: Response<WholeBody>) -> Response<WholeBody> {
     if context.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -231,7 +254,7 @@
             .as_ref()
             .map(|refusal| refusal.reason.as_ref());
         let reason = reason.unwrap_or("server-error");
-        report_retry(call, &target, reason, history.arrivals);
+        report_retry(context, call, &target, reason, history.arrivals);
     }
 }
 
@@ -374,7 +397,7 @@
         ended = &mut running => return ended,
         ended = &mut hedge => match ended {
             Ok(response) if !response.status().is_server_error() => {
-                report_retry(call, &second, SLOW_REASON, history.arrivals);
+                report_retry(context, call, &second, SLOW_REASON, history.arrivals);
                 return Ok(response);
             }
             Ok(_) => {
@@ -413,9 +436,9 @@
     response: &Response<WholeBody>,
     history: &AttemptHistory,
 ) {
-    context.metrics.count_call(CallOutcome::Answered);
     let elapsed = call.started.elapsed();
-    if elapsed > call.route.objective || history.asked > 1 {
+    let is_notable = elapsed > call.route.objective || history.asked > 1;
+    if is_notable && context.call_lines.take(Instant::now()) {
         info!(
             decision = "answer",
             call = call.call_id,
@@ -430,7 +453,17 @@
     }
 }
 
-fn report_retry(call: &EntryCall, target: &TargetEndpoint, reason: &str, arrivals: u32) {
+fn report_retry(
+    context: &MeshContext,
+    call: &EntryCall,
+    target: &TargetEndpoint,
+    reason: &str,
+    arrivals: u32,
+) {
+    context.metrics.count_retry();
+    if !context.call_lines.take(Instant::now()) {
+        return;
+    }
     info!(
         decision = "retry",
         call = call.call_id,
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -28,7 +28,7 @@
         time::{Duration, Instant},
     },
     tokio::time::timeout_at,
-    tracing::warn,
+    tracing::{info, warn},
 };
 
 /// Longest answer that is passed on, in bytes.
@@ -98,11 +98,44 @@
             .ok_or_else(|| MeshRefusal::not_run("body-missing", UNREACHABLE_RETRY))?,
     };
     let request = target_request(context, choice, head, content, &instance, deadline);
+    let begun = Instant::now();
     let answered = exchange(context, choice, request, deadline).await;
     drop(permit);
+    if let Err(refusal) = &answered {
+        report_failure(context, choice, head, &instance, refusal, begun.elapsed());
+    }
     answered
 }
 
+/// Logs an exchange that gave no answer, by the identifier of the call.
+fn report_failure(
+    context: &MeshContext,
+    choice: &HopChoice,
+    head: &Parts,
+    instance: &str,
+    refusal: &MeshRefusal,
+    elapsed: Duration,
+) {
+    if !context.call_lines.take(Instant::now()) {
+        return;
+    }
+    let call = head.headers.get(&context.settings.headers.call_id);
+    let load = context.queue.load();
+    info!(
+        decision = "exchange",
+        call = call.and_then(|value| value.to_str().ok()),
+        route = choice.route,
+        version = choice.version,
+        instance,
+        fate = %refusal.fate,
+        reason = %refusal.reason,
+        elapsed_ms = elapsed.as_millis() as u64,
+        running = load.running,
+        waiting = load.waiting,
+        "the target gave no answer"
+    );
+}
+
 fn find_instance(context: &MeshContext, choice: &HopChoice) -> Result<InstanceId, MeshRefusal> {
     let refuse = |reason| MeshRefusal::not_run(reason, UNREACHABLE_RETRY);
     let registry = context.registry.lock();
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -29,6 +29,10 @@
     0.000_05, 0.000_1, 0.000_2, 0.000_3, 0.000_45, 0.000_63, 0.001, 0.002, 0.01, 0.1,
 ];
 
+/// Buckets of the latency of a call in seconds, from a refusal to the longest deadline.
+const CALL_LATENCY_BOUNDS: [f64; 11] =
+    [0.005, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 10.0];
+
 /// Metrics that could not be set up or read.
 #[derive(Debug, Error)]
 pub enum MetricsError {
@@ -102,6 +106,7 @@
     control_out: Counter<u64>,
     moves: Counter<u64>,
     added_latency: Histogram<f64>,
+    call_latency: Histogram<f64>,
     calls: Counter<u64>,
     retries: Counter<u64>,
     refusals: Counter<u64>,
@@ -130,6 +135,7 @@
             control_out: control_counter(&meter, "poplarwing_control_sent"),
             moves: counter(&meter, "poplarwing_moves", "Moves ended, by result."),
             added_latency: latency_histogram(&meter),
+            call_latency: call_histogram(&meter),
             calls: counter(&meter, "poplarwing_calls", "Calls ended, by outcome."),
             retries: counter(&meter, "poplarwing_retries", "Calls sent again."),
             refusals: counter(&meter, "poplarwing_refusals", "Calls refused, by reason."),
@@ -142,6 +148,12 @@
         self.convergence.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Records the time from the arrival of a call to its answer, by outcome.
+    pub fn record_call_latency(&self, elapsed: Duration, outcome: CallOutcome) {
+        let labels = [KeyValue::new("outcome", outcome.to_string())];
+        self.call_latency.record(elapsed.as_secs_f64(), &labels);
+    }
+
     /// Counts control bytes received.
     pub fn add_control_received(&self, channel: ControlChannel, bytes: u64) {
         self.control_in.add(bytes, &[channel_label(channel)]);
@@ -225,6 +237,15 @@
         .build()
 }
 
+fn call_histogram(meter: &Meter) -> Histogram<f64> {
+    meter
+        .f64_histogram("poplarwing_call_latency")
+        .with_description("Time from the arrival of a call to its answer.")
+        .with_unit("s")
+        .with_boundaries(CALL_LATENCY_BOUNDS.to_vec())
+        .build()
+}
+
 fn latency_histogram(meter: &Meter) -> Histogram<f64> {
     let builder = meter
         .f64_histogram("poplarwing_added_latency")
