--- a/tests/admin_metrics.rs
+++ b/tests/admin_metrics.rs
@@ -62,7 +62,7 @@
             "no {line} in\n{text}"
         );
     }
-    let page = include_str!("../docs/operations.md");
+    let page = include_str!("../docs/OPERATIONS.md");
     for line in text.lines().filter_map(|line| line.strip_prefix("# TYPE ")) {
         let name = line.split(' ').next().unwrap_or_default();
         assert!(
