Let the peer of a join test accept its version after the read of the store

Cause: with_the_store_a_newer_peer_is_pulled_from_but_does_not_raise_the_floor failed once, floor 23 instead of 22, while two test runs and a build went on. The test means versions that peers accept after the read, but its peer had 23 from the start; if its answer comes before the read, the floor is rightly 23. Change: the peer puts 23 in force inside the read. The bound is the same. Conclusion: the test was wrong in its order of events; the product is unchanged.

--- a/tests/join_floor.rs
+++ b/tests/join_floor.rs
@@ -176,12 +176,18 @@
 /// being left out.
 #[tokio::test]
 async fn with_the_store_a_newer_peer_is_pulled_from_but_does_not_raise_the_floor() {
-    let mut peers = peers(&[22, 23, 22]).await;
+    let mut peers = peers(&[22, 22, 22]).await;
     peers.iter_mut().for_each(TestNode::run_gossip);
     let mut node = TestNode::start("joiner", &addresses(&peers), 1).await;
     node.run_gossip();
+    // A peer that answered with 23 before the read would raise the floor by right.
+    let read = || async {
+        peers[1].apply(23);
+        Ok::<_, &'static str>(22)
+    };
 
-    let outcome = join(&node, Ok(22)).await;
+    let cancel = CancellationToken::new();
+    let outcome = find_floor(&node.settings, read, &node.gossip, &node.board, cancel).await;
 
     assert_eq!((outcome.source, outcome.floor), (FloorSource::Store, 22));
     wait_for("the newest version", || node.board.gate.version() == 23).await;
