Let one node of each failure domain read the store for all

Change: the first node of each failure domain reads; gossip packets carry the store's clock up to which a node has missed nothing, and a node that has not heard of it for 2.2 s reads itself, in the order of the nodes. Orders and steps of moves are passed on by a digest and a request between nodes, which also serves nodes that the store turns away. Each node lists the nodes once after its own write, later once in 2 s times the number of nodes.

--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -1,13 +1,14 @@
 //! Tables that the controllers and the call path share.
 //!
-//! Lock order: `members`, `loads`, `limits`, `evidence`, `vetoes`. A thread that holds a later lock
+//! Lock order: `moves`, `members`, `loads`, `limits`, `evidence`, `vetoes`. A thread that holds a later lock
 //! never takes an earlier one, and no lock is held across an await. `gate` takes its own lock inside its
 //! methods and calls nothing else while it holds it.
 
 use {
     crate::{
         apply_gate::ApplyGate, call_evidence::EvidenceTable, limit_share::LimitTable,
-        membership::MemberTable, route_table::LoadTable, veto_table::VetoTable,
+        membership::MemberTable, mesh::move_board::MoveBoard, route_table::LoadTable,
+        veto_table::VetoTable,
     },
     parking_lot::Mutex,
 };
@@ -17,6 +18,8 @@
 pub struct Blackboard {
     /// Configuration in force.
     pub gate: ApplyGate,
+    /// Moves that the platform's store orders and records.
+    pub moves: Mutex<MoveBoard>,
     /// Nodes and targets known.
     pub members: Mutex<MemberTable>,
     /// What this node's own calls say about targets.
--- a/src/config_sync.rs
+++ b/src/config_sync.rs
@@ -9,9 +9,10 @@
         config::{ConfigDelta, ConfigError, ConfigSnapshot, ServiceKey},
         gossip::{GossipNode, counters::GossipCounters, member_events::full_event},
         ids::{ConfigVersion, NodeId},
+        mesh::move_board::KnownMoves,
         wire::{
             ConfigBusy, ConfigDeltaBody, ConfigFullBody, ConfigPull, EvidenceAsk, EvidenceReply,
-            JoinAsk, JoinReply, SyncBody,
+            JoinAsk, JoinReply, MovesAsk, MovesReply, SyncBody,
         },
         wire_codec::{ConnectionError, FrameError, FrameStream, SyncStep, kind_of},
     },
@@ -236,6 +237,21 @@
     }
 }
 
+/// Asks a peer for the moves that it knows.
+pub async fn ask_moves(address: SocketAddr, gossip: &GossipNode) -> Result<KnownMoves, SyncError> {
+    let node = gossip.own().node;
+    let ask = SyncBody::MovesAsk(MovesAsk {});
+    match exchange(address, &node, ask, gossip.counters()).await?.body {
+        SyncBody::MovesReply(reply) => {
+            serde_json::from_slice(&reply.json).map_err(|cause| SyncError::Answer {
+                peer: address,
+                cause: cause.into(),
+            })
+        }
+        other => Err(unexpected(address, &other, "MovesReply")),
+    }
+}
+
 /// What a peer answered to a `JoinAsk`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerReply {
@@ -430,8 +446,10 @@
                 SyncBody::ConfigPull(pull) => self.serve_pull(frames, pull).await?,
                 SyncBody::JoinAsk(ask) => self.serve_join(frames, ask).await?,
                 SyncBody::EvidenceAsk(ask) => frames.send(self.evidence(ask)).await?,
+                SyncBody::MovesAsk(_) => frames.send(self.moves()).await?,
                 other => {
-                    return Err(frames.unexpected(&other, "ConfigPull, JoinAsk or EvidenceAsk"));
+                    let expected = "ConfigPull, JoinAsk, EvidenceAsk or MovesAsk";
+                    return Err(frames.unexpected(&other, expected));
                 }
             }
         }
@@ -484,6 +502,12 @@
         })
     }
 
+    fn moves(&self) -> SyncBody {
+        let known = self.board.moves.lock().known();
+        let json = serde_json::to_vec(&known).expect("moves have only string keys");
+        SyncBody::MovesReply(MovesReply { json })
+    }
+
     fn evidence(&self, ask: EvidenceAsk) -> SyncBody {
         let key = ServiceKey {
             customer: ask.customer,
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -21,7 +21,9 @@
         wire_codec::{PacketError, decode_packet, encode_packet},
     },
     counters::GossipCounters,
-    machine::{GossipMachine, GossipTables, MachineOutput, NewerVersion, OutgoingPacket},
+    machine::{
+        GossipMachine, GossipTables, MachineOutput, NewerMoves, NewerVersion, OutgoingPacket,
+    },
     member_events::{check_member, full_event},
     parking_lot::Mutex,
     rand::{Rng, seq::IteratorRandom},
@@ -32,6 +34,7 @@
     },
     tokio::{
         net::UdpSocket,
+        sync::watch,
         time::{Instant, sleep, sleep_until},
     },
     tokio_util::sync::CancellationToken,
@@ -67,6 +70,7 @@
     board: Arc<Blackboard>,
     counters: GossipCounters,
     machine: Mutex<GossipMachine>,
+    newer_moves: watch::Sender<Option<NewerMoves>>,
     started: Instant,
     start_number: u64,
     socket: OnceLock<Arc<UdpSocket>>,
@@ -109,6 +113,7 @@
             board,
             counters: GossipCounters::default(),
             machine: Mutex::new(machine),
+            newer_moves: watch::Sender::new(None),
             started: Instant::now(),
             start_number: start_number(),
             socket: OnceLock::new(),
@@ -157,6 +162,28 @@
         self.act(|machine, _, tables| machine.push(tables));
     }
 
+    /// Notes that the store has been read up to this time of its clock.
+    pub fn confirm_store(&self, clock: Duration) {
+        let version = self.shared.board.gate.version();
+        self.act(|machine, now, tables| machine.confirm_store(clock, version, now, tables));
+    }
+
+    /// Returns the time since this node last learned that it had missed nothing of the store.
+    pub fn store_age(&self) -> Duration {
+        let confirmed_at = self.shared.machine.lock().store_confirmed_at();
+        self.shared.started.elapsed().saturating_sub(confirmed_at)
+    }
+
+    /// Tells other nodes how far this node knows the moves.
+    pub fn set_moves_digest(&self, digest: u64) {
+        self.act(|machine, _, tables| machine.set_moves_digest(digest, tables));
+    }
+
+    /// Returns the last peer heard of that knows of further moves, and each change of it.
+    pub fn newer_moves(&self) -> watch::Receiver<Option<NewerMoves>> {
+        self.shared.newer_moves.subscribe()
+    }
+
     /// Spreads a veto.
     pub fn spread_veto(&self, veto: VetoRecord) {
         self.act(|machine, _, tables| machine.spread_veto(veto, tables));
@@ -302,6 +329,9 @@
         for outgoing in &output.packets {
             self.send(outgoing);
         }
+        if output.newer_moves.is_some() {
+            self.shared.newer_moves.send_replace(output.newer_moves);
+        }
         output.newer
     }
 
--- a/src/gossip/machine.rs
+++ b/src/gossip/machine.rs
@@ -3,9 +3,13 @@
 mod merging;
 mod packets;
 mod probing;
+mod store_view;
 
 use {
-    self::merging::{is_target_news, next_news},
+    self::{
+        merging::{is_target_news, next_news},
+        store_view::KnownStore,
+    },
     super::{
         event_queue::EventQueue,
         member_events::{full_event, member_event, spread_event, veto_event},
@@ -63,6 +67,15 @@
     pub version: ConfigVersion,
 }
 
+/// A peer that knows of moves which this node does not know.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NewerMoves {
+    /// Peer address.
+    pub address: SocketAddr,
+    /// Digest of the moves that it knows.
+    pub digest: u64,
+}
+
 /// What one step of the protocol asks for.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MachineOutput {
@@ -70,6 +83,8 @@
     pub packets: Vec<OutgoingPacket>,
     /// Peer with a newer configuration, if one was heard of.
     pub newer: Option<NewerVersion>,
+    /// Peer that knows of moves which this node does not know, if one was heard of.
+    pub newer_moves: Option<NewerMoves>,
 }
 
 #[derive(Clone, Debug)]
@@ -108,6 +123,7 @@
     queue: EventQueue,
     event_allowance: f64,
     allowance_at: Duration,
+    store: KnownStore,
 }
 
 impl GossipMachine {
@@ -139,6 +155,7 @@
             queue: EventQueue::default(),
             event_allowance: EVENT_BURST_BYTES,
             allowance_at: now,
+            store: KnownStore::default(),
         };
         machine.enrol_known(now, tables);
         machine.publish_own(tables);
@@ -196,6 +213,7 @@
         self.heard_at = now;
         self.refill_allowance(now);
         self.note_version(packet, from, tables, &mut output);
+        self.note_store_view(packet, from, now, tables, &mut output);
         let effect = self.take_events(&packet.events, now, tables);
         self.answer(packet, from, now, tables, &mut output);
         if !effect.urgent.is_empty() {
--- a/src/gossip/machine/packets.rs
+++ b/src/gossip/machine/packets.rs
@@ -50,6 +50,7 @@
             config_version: self.own.applied_version,
             events: Vec::new(),
             kind: Some(kind),
+            store_view: self.store.view(),
         };
         let mut budget = MAX_PACKET_BYTES.saturating_sub(packet.encoded_len());
         for event in first {
@@ -83,7 +84,18 @@
         tables: &GossipTables<'_>,
         output: &mut MachineOutput,
     ) {
-        for peer in self.choose_push_targets(tables) {
+        self.push_to(self.section.push_fanout, urgent, tables, output);
+    }
+
+    /// Sends a push with these events to so many random members.
+    pub(super) fn push_to(
+        &mut self,
+        count: usize,
+        urgent: &[GossipEvent],
+        tables: &GossipTables<'_>,
+        output: &mut MachineOutput,
+    ) {
+        for peer in self.choose_push_targets(count, tables) {
             let packet = self.packet(GossipKind::Push(Push {}), 0, urgent.to_vec(), tables);
             output.packets.push(OutgoingPacket {
                 address: peer.address,
@@ -93,8 +105,11 @@
     }
 
     /// Chooses half of the members in other failure domains and the rest anywhere.
-    pub(super) fn choose_push_targets(&mut self, tables: &GossipTables<'_>) -> Vec<PeerContact> {
-        let count = self.section.push_fanout;
+    pub(super) fn choose_push_targets(
+        &mut self,
+        count: usize,
+        tables: &GossipTables<'_>,
+    ) -> Vec<PeerContact> {
         let domain = &self.own.domain;
         let is_foreign =
             |record: &MemberRecord| record.state == MemberState::Alive && &record.domain != domain;
@@ -182,7 +197,7 @@
         }
     }
 
-    /// A peer that announces an older version learns of the newer one at once.
+    /// A peer that announces an older version or fewer moves learns of the newer ones at once.
     pub(super) fn answer_push(
         &mut self,
         packet: &GossipPacket,
@@ -190,7 +205,9 @@
         tables: &GossipTables<'_>,
         output: &mut MachineOutput,
     ) {
-        if packet.config_version < self.own.applied_version {
+        let digest = packet.store_view.map_or(0, |view| view.moves_digest);
+        let own_digest = self.store.view().map_or(0, |view| view.moves_digest);
+        if packet.config_version < self.own.applied_version || digest < own_digest {
             let answer = self.packet(GossipKind::Push(Push {}), 0, Vec::new(), tables);
             output.packets.push(OutgoingPacket {
                 address: from,
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,13 +1,13 @@
 //! State of a node that its servers and controllers share.
 //!
-//! Lock order: `registry`, `moves`, then those of `board`, then `loads`, `budgets`, `splits`, `asked`. No lock is held
+//! Lock order: `registry`, then those of `board`, then `loads`, `budgets`, `splits`, `asked`. No lock is held
 //! across an await.
 
 use {
     super::{
         admission::AdmissionQueue, asked_time::AskedTimes, choice::PeerLoads, hop::HopClient,
-        move_board::MoveBoard, registry::TargetRegistry, retry_share::RetryShares,
-        settings::MeshSettings, split::RouteSplits,
+        registry::TargetRegistry, retry_share::RetryShares, settings::MeshSettings,
+        split::RouteSplits,
     },
     crate::{
         blackboard::Blackboard, event_log::LineLimiter, gossip::GossipNode,
@@ -42,8 +42,6 @@
     pub target: TargetClient,
     /// Client towards other nodes.
     pub hops: HopClient,
-    /// Moves known.
-    pub moves: Mutex<MoveBoard>,
     /// Loads of all targets.
     pub loads: Mutex<PeerLoads>,
     /// Repeats that this node may send.
@@ -77,7 +75,6 @@
             queue: AdmissionQueue::default(),
             target,
             hops: HopClient::default(),
-            moves: Mutex::default(),
             loads: Mutex::default(),
             budgets: Mutex::new(budgets),
             splits: Mutex::default(),
@@ -105,6 +102,12 @@
         self.gossip.announce_target(record);
     }
 
+    /// Tells other nodes how far this node knows the moves, after it has learned of a step.
+    pub fn publish_moves(&self) {
+        let digest = self.board.moves.lock().digest();
+        self.gossip.set_moves_digest(digest);
+    }
+
     /// Marks the node as leaving: it stops offering its target to others.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -338,6 +338,7 @@
 ) -> Option<TargetEndpoint> {
     let targets = context.board.members.lock().targets_of(&call.service);
     let eligible = context
+        .board
         .moves
         .lock()
         .eligible(&call.service, targets, call.draw);
--- a/src/mesh/move_board.rs
+++ b/src/mesh/move_board.rs
@@ -7,6 +7,7 @@
         ids::{ServiceName, VersionName},
         membership::TargetEndpoint,
     },
+    serde::{Deserialize, Serialize},
     std::collections::{BTreeSet, HashMap},
 };
 
@@ -23,6 +24,16 @@
     settled: HashMap<ServiceName, VersionName>,
 }
 
+/// Orders and records that a node passes on to its peers.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct KnownMoves {
+    /// The newest order of each service.
+    pub orders: Vec<MoveOrder>,
+    /// The newest record of each service.
+    pub records: Vec<StoredMove>,
+}
+
 /// What is known of a service's latest move.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MoveView {
@@ -55,6 +66,35 @@
         true
     }
 
+    /// Takes over what a peer knows; returns whether any of it is new.
+    pub fn merge(&mut self, known: KnownMoves) -> bool {
+        let mut is_new = false;
+        for order in known.orders {
+            is_new |= self.add_order(order);
+        }
+        for stored in known.records {
+            is_new |= self.add_record(stored);
+        }
+        is_new
+    }
+
+    /// Returns all orders and records.
+    pub fn known(&self) -> KnownMoves {
+        KnownMoves {
+            orders: self.orders.values().cloned().collect(),
+            records: self.records.values().cloned().collect(),
+        }
+    }
+
+    /// Returns a number that grows with each order and record taken over.
+    ///
+    /// A node that knows all that another knows has at least its digest.
+    pub fn digest(&self) -> u64 {
+        let orders = self.orders.values().map(|order| order.revision);
+        let records = self.records.values().map(|stored| stored.revision);
+        orders.chain(records).fold(0, u64::wrapping_add)
+    }
+
     /// Returns the latest move of a service.
     pub fn view(&self, service: &str) -> Option<MoveView> {
         let order = self.orders.get(service)?.clone();
--- a/src/mesh/move_driver.rs
+++ b/src/mesh/move_driver.rs
@@ -8,14 +8,15 @@
         context::MeshContext,
         move_board::MoveView,
         move_schedule::{ScheduledStep, scheduled_step},
+        node_rank::own_rank,
         orders::StoreClock,
         port::{MoveRecord, MoveState, MoveWrite, PlatformPort, RowRevision, StoredMove},
     },
     crate::{
         config::{MovePreference, ServiceKey},
         config_sync::ask_evidence,
-        ids::{NodeId, ServiceName, VersionName},
-        membership::{MemberState, TargetEndpoint},
+        ids::{ServiceName, VersionName},
+        membership::TargetEndpoint,
         move_verdict::{
             MoveVerdict, VerdictPolicy, VerdictTest,
             counter_history::{CounterHistory, CounterReading},
@@ -24,7 +25,6 @@
     },
     std::{
         collections::HashMap,
-        hash::Hasher,
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
@@ -34,7 +34,6 @@
         time::{sleep, timeout},
     },
     tracing::{info, warn},
-    xxhash_rust::xxh3::Xxh3,
 };
 
 /// Time between two judgements.
@@ -77,7 +76,7 @@
     let mut watched: HashMap<ServiceName, WatchedMove> = HashMap::new();
     loop {
         sleep(TICK).await;
-        let open = context.moves.lock().open_moves();
+        let open = context.board.moves.lock().open_moves();
         watched.retain(|service, _| open.iter().any(|view| &view.order.service == service));
         for view in open {
             if let Some(rank) = watcher_rank(&context, &view) {
@@ -88,31 +87,10 @@
 }
 
 /// Returns this node's place among the watchers of a move.
-fn watcher_rank(context: &MeshContext, view: &MoveView) -> Option<usize> {
-    let own = &context.settings.node.id;
-    let mut ranks: Vec<(u64, NodeId)> = {
-        let members = context.board.members.lock();
-        let alive = members
-            .iter()
-            .filter(|record| record.state == MemberState::Alive && &record.node != own);
-        alive
-            .map(|record| (weight(view, &record.node), record.node.clone()))
-            .collect()
-    };
-    ranks.push((weight(view, own), own.clone()));
-    ranks.sort();
-    ranks
-        .iter()
-        .take(WATCHERS)
-        .position(|(_, node)| node == own)
-}
-
-fn weight(view: &MoveView, node: &str) -> u64 {
-    let mut hasher = Xxh3::new();
-    hasher.write(view.order.service.as_bytes());
-    hasher.write_u64(view.order.revision);
-    hasher.write(node.as_bytes());
-    hasher.finish()
+pub fn watcher_rank(context: &MeshContext, view: &MoveView) -> Option<usize> {
+    let duty = format!("watch {} {}", view.order.service, view.order.revision);
+    let rank = own_rank(context, &duty, |_| true);
+    (rank < WATCHERS).then_some(rank)
 }
 
 async fn step(
@@ -293,7 +271,7 @@
         .stored
         .as_ref()
         .map_or(0, |stored: &StoredMove| stored.revision);
-    let expected = expected.max(context.moves.lock().row_revision(&view.order.service));
+    let expected = expected.max(context.board.moves.lock().row_revision(&view.order.service));
     let (state, permille) = (record.state, record.permille);
     let (service, reason) = (record.order.service.clone(), record.reason.clone());
     match (port.write_move)(MoveWrite { record, expected }).await {
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -6,7 +6,7 @@
         entry::answer_call,
         http::{ServerStop, read_whole, serve},
         move_driver::drive_moves,
-        orders::{StoreClock, follow_moves, follow_orders},
+        orders::{StoreClock, follow_moves, follow_orders, hear_moves},
         peers::find_peers,
         port::PlatformPort,
         refusal::WholeBody,
@@ -239,6 +239,8 @@
     spawn_task(&mut tasks, "orders", until(background, orders));
     let moves = follow_moves(context.clone(), port.clone(), clock.clone());
     spawn_task(&mut tasks, "moves", until(background, moves));
+    let heard = hear_moves(context.clone());
+    spawn_task(&mut tasks, "moves of peers", until(background, heard));
     let driver = drive_moves(context.clone(), port.clone(), clock);
     spawn_task(&mut tasks, "move driver", until(background, driver));
     let peers = find_peers(context.clone(), port.clone());
--- /dev/null
+++ b/src/mesh/node_rank.rs
@@ -0,0 +1,33 @@
+//! Order of the nodes that all of them compute alike, so that each knows which duties fall to it.
+
+use {
+    super::context::MeshContext,
+    crate::membership::{MemberRecord, MemberState},
+    std::hash::Hasher,
+    xxhash_rust::xxh3::Xxh3,
+};
+
+/// Returns the place of this node among the nodes that are alive and that `accept` admits; 0 goes first.
+///
+/// The order depends on the duty, so that the same node is not first for every one.
+pub fn own_rank(
+    context: &MeshContext,
+    duty: &str,
+    accept: impl Fn(&MemberRecord) -> bool,
+) -> usize {
+    let own = &context.settings.node.id;
+    let own_weight = (weight(duty, own), own);
+    let members = context.board.members.lock();
+    let others = members.iter().filter(|record| {
+        record.state == MemberState::Alive && &record.node != own && accept(record)
+    });
+    let before = others.filter(|record| (weight(duty, &record.node), &record.node) < own_weight);
+    before.count()
+}
+
+fn weight(duty: &str, node: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.write(duty.as_bytes());
+    hasher.write(node.as_bytes());
+    hasher.finish()
+}
--- a/src/mesh/orders.rs
+++ b/src/mesh/orders.rs
@@ -3,11 +3,17 @@
 use {
     super::{
         context::MeshContext,
+        move_driver::watcher_rank,
         port::{FeedPosition, MoveBatch, OrderBatch, PlatformPort, PortError},
+        store_duty::{FEED_WAIT, is_reader, read_wait},
+    },
+    crate::{
+        apply_gate::{ApplyError, ConfigSource},
+        config_sync::ask_moves,
     },
-    crate::apply_gate::{ApplyError, ConfigSource},
     parking_lot::Mutex,
     std::{
+        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -18,8 +24,11 @@
 /// First and longest pause after a request that failed.
 const PAUSE_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
-/// Time between two looks for an open move while there is none.
-const IDLE_LOOK: Duration = Duration::from_millis(200);
+/// Time between two looks whether it falls to this node to read the store.
+const DUTY_LOOK: Duration = Duration::from_millis(100);
+
+/// Pause after a peer did not tell the moves that it knows.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
 
 /// The store's steady clock as of its last answer.
 #[derive(Debug, Default)]
@@ -80,17 +89,28 @@
     }
 }
 
-/// Puts in force what the operator writes, without end.
+/// Puts in force what the operator writes, as long as it falls to this node to read it, without end.
 pub async fn follow_orders(context: Arc<MeshContext>, port: PlatformPort, clock: Arc<StoreClock>) {
     let mut contact = StoreContact::new("orders");
     let mut position: FeedPosition = 0;
     loop {
-        match (port.follow_orders)(position).await {
+        // At the start the node reads in any case, since its peers may know nothing yet.
+        let wait = match position {
+            0 => Some(Duration::ZERO),
+            _ => read_wait(&context),
+        };
+        let Some(wait) = wait else {
+            sleep(DUTY_LOOK).await;
+            continue;
+        };
+        match (port.follow_orders)(position, wait).await {
             Ok(batch) => {
                 contact.regained();
                 clock.set(batch.clock);
                 position = batch.position;
+                let store_clock = batch.clock;
                 take_orders(&context, batch);
+                context.gossip.confirm_store(store_clock);
             }
             Err(PortError::HistoryGone { .. }) => {
                 info!(
@@ -121,7 +141,7 @@
     for order in batch.moves {
         let (service, candidate) = (order.service.clone(), order.candidate.clone());
         let (revision, period) = (order.revision, order.period);
-        if context.moves.lock().add_order(order) {
+        if context.board.moves.lock().add_order(order) {
             info!(
                 decision = "move",
                 service,
@@ -132,18 +152,19 @@
             );
         }
     }
+    context.publish_moves();
 }
 
-/// Follows the progress of moves while there is one that has not ended.
+/// Follows the progress of moves while there is one that has not ended and that this node reads or watches.
 pub async fn follow_moves(context: Arc<MeshContext>, port: PlatformPort, clock: Arc<StoreClock>) {
     let mut contact = StoreContact::new("moves");
     let mut position: FeedPosition = 0;
     loop {
-        if position > 0 && context.moves.lock().open_moves().is_empty() {
-            sleep(IDLE_LOOK).await;
+        if !follows_moves(&context, position) {
+            sleep(DUTY_LOOK).await;
             continue;
         }
-        match (port.follow_moves)(position).await {
+        match (port.follow_moves)(position, FEED_WAIT).await {
             Ok(batch) => {
                 contact.regained();
                 clock.set(batch.clock);
@@ -156,10 +177,63 @@
     }
 }
 
+fn follows_moves(context: &MeshContext, position: FeedPosition) -> bool {
+    let open = context.board.moves.lock().open_moves();
+    if open.is_empty() {
+        return false;
+    }
+    let is_watched = || {
+        open.iter()
+            .any(|view| watcher_rank(context, view).is_some())
+    };
+    position == 0 || is_reader(context) || is_watched()
+}
+
+/// Takes over the moves that peers know and this node does not, without end.
+pub async fn hear_moves(context: Arc<MeshContext>) {
+    let mut newer_moves = context.gossip.newer_moves();
+    while newer_moves.changed().await.is_ok() {
+        let newer = *newer_moves.borrow_and_update();
+        let digest = context.board.moves.lock().digest();
+        let Some(newer) = newer.filter(|newer| newer.digest > digest) else {
+            continue;
+        };
+        match ask_moves(newer.address, &context.gossip).await {
+            Ok(known) => {
+                let is_new = context.board.moves.lock().merge(known);
+                if is_new {
+                    log_heard(&context, newer.address);
+                    context.publish_moves();
+                }
+            }
+            Err(error) => {
+                warn!(%error, "a peer did not tell the moves that it knows");
+                sleep(ASK_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn log_heard(context: &MeshContext, peer: SocketAddr) {
+    for view in context.board.moves.lock().open_moves() {
+        let record = view.record();
+        info!(
+            decision = "move",
+            service = view.order.service,
+            candidate = view.order.candidate,
+            revision = view.order.revision,
+            permille = view.permille(),
+            writer = record.map(|record| record.writer.as_str()),
+            %peer,
+            "moves heard of from a peer"
+        );
+    }
+}
+
 fn take_moves(context: &MeshContext, batch: MoveBatch) {
     for stored in batch.moves {
         let record = stored.record.clone();
-        if context.moves.lock().add_record(stored) {
+        if context.board.moves.lock().add_record(stored) {
             info!(
                 decision = "move",
                 service = record.order.service,
@@ -172,4 +246,5 @@
             );
         }
     }
+    context.publish_moves();
 }
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -18,14 +18,15 @@
     tracing::{debug, info, warn},
 };
 
-/// Time between two looks at the rows while nodes are starting.
+/// Time between two looks at the rows while this node's own row is not written or it knows no peer.
 const EAGER_PERIOD: Duration = Duration::from_millis(700);
 
-/// Time after the start for which the node looks often.
-const EAGER_TIME: Duration = Duration::from_secs(4);
+/// Time between two looks at the rows by some node of the fleet. Each node looks so much more seldom as there are
+/// nodes, so that the load of the store does not grow with them.
+const FLEET_PERIOD: Duration = Duration::from_secs(2);
 
-/// Time between two looks at the rows later.
-const CALM_PERIOD: Duration = Duration::from_secs(8);
+/// Time between two rounds of joins with the nodes of the rows last read.
+const JOIN_PERIOD: Duration = Duration::from_millis(300);
 
 /// Nodes that are asked at once.
 const MAX_JOINS: usize = 6;
@@ -35,26 +36,35 @@
 
 /// Writes where this node is, and joins the nodes that it finds, without end.
 pub async fn find_peers(context: Arc<MeshContext>, port: PlatformPort) {
-    let started = Instant::now();
     let own = PeerRow {
         node: context.settings.node.id.clone(),
         peer_address: context.settings.node.peer_address,
     };
     let mut written = false;
+    let mut rows = Vec::new();
+    let mut list_at = Instant::now();
     let mut silent: HashMap<NodeId, Instant> = HashMap::new();
     loop {
-        if !written {
-            written = report_failure((port.write_peer)(own.clone()).await).is_some();
+        if Instant::now() >= list_at {
+            // A node that lists after its own write sees each node that has not yet listed, or is seen by it.
+            written = written || report_failure((port.write_peer)(own.clone()).await).is_some();
+            rows = report_failure((port.list_peers)().await).unwrap_or(rows);
+            list_at = Instant::now() + list_period(&context, written);
         }
-        if let Some(rows) = report_failure((port.list_peers)().await) {
-            join_unknown(&context, rows, &mut silent).await;
-        }
-        let eager = started.elapsed() < EAGER_TIME || !written;
-        let period = if eager { EAGER_PERIOD } else { CALM_PERIOD };
-        sleep(period.mul_f64(0.8 + 0.4 * rand::random::<f64>())).await;
+        join_unknown(&context, &rows, &mut silent).await;
+        sleep(JOIN_PERIOD).await;
     }
 }
 
+fn list_period(context: &MeshContext, written: bool) -> Duration {
+    let peers = context.board.members.lock().len().saturating_sub(1) as u32;
+    let period = match (written, peers) {
+        (false, _) | (_, 0) => EAGER_PERIOD,
+        (true, peers) => FLEET_PERIOD * (peers + 1),
+    };
+    period.mul_f64(0.8 + 0.4 * rand::random::<f64>())
+}
+
 fn report_failure<T>(result: Result<T, PortError>) -> Option<T> {
     result
         .inspect_err(|error| warn!(dependency = "store", %error, "peers not read or written"))
@@ -64,7 +74,7 @@
 /// Joins the nodes of the rows that gossip does not know as alive.
 async fn join_unknown(
     context: &Arc<MeshContext>,
-    rows: Vec<PeerRow>,
+    rows: &[PeerRow],
     silent: &mut HashMap<NodeId, Instant>,
 ) {
     let now = Instant::now();
@@ -76,7 +86,7 @@
                 && members.get(&row.node).is_none()
                 && !silent.contains_key(&row.node)
         };
-        rows.into_iter().filter(is_unknown).collect()
+        rows.iter().filter(|row| is_unknown(row)).cloned().collect()
     };
     let mut joins = JoinSet::new();
     for row in unknown.into_iter().take(MAX_JOINS) {
--- a/src/mesh/port.rs
+++ b/src/mesh/port.rs
@@ -94,7 +94,8 @@
 }
 
 /// A move record with the revision of its row.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct StoredMove {
     /// Content of the row.
     pub record: MoveRecord,
@@ -151,10 +152,10 @@
 /// Requests to the store.
 #[derive(Clone)]
 pub struct PlatformPort {
-    /// Waits for what the operator writes after a position.
-    pub follow_orders: Arc<dyn Fn(FeedPosition) -> PortFuture<OrderBatch> + Send + Sync>,
-    /// Waits for move records written after a position.
-    pub follow_moves: Arc<dyn Fn(FeedPosition) -> PortFuture<MoveBatch> + Send + Sync>,
+    /// Waits for what the operator writes after a position, for at most the time given.
+    pub follow_orders: Arc<dyn Fn(FeedPosition, Duration) -> PortFuture<OrderBatch> + Send + Sync>,
+    /// Waits for move records written after a position, for at most the time given.
+    pub follow_moves: Arc<dyn Fn(FeedPosition, Duration) -> PortFuture<MoveBatch> + Send + Sync>,
     /// Writes a move record and what the operator sees of it; returns whether the condition held.
     pub write_move: Arc<dyn Fn(MoveWrite) -> PortFuture<bool> + Send + Sync>,
     /// Lists the nodes that have written where they are.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -32,6 +32,20 @@
     /// Purpose of the packet.
     #[prost(oneof = "GossipKind", tags = "6, 7, 8, 9")]
     pub kind: Option<GossipKind>,
+    /// What the sender knows of the platform's store; nodes that do not read it leave it out.
+    #[prost(message, optional, tag = "10")]
+    pub store_view: Option<StoreView>,
+}
+
+/// How far a node knows what the platform's store holds.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct StoreView {
+    /// The store's clock, in milliseconds, up to which the sender has missed no change of the operator's table.
+    #[prost(uint64, tag = "1")]
+    pub clock_ms: u64,
+    /// Grows with each order and each step of a move that the sender learns.
+    #[prost(uint64, tag = "2")]
+    pub moves_digest: u64,
 }
 
 /// Purpose of a gossip packet.
@@ -179,7 +193,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SyncFrame {
     /// Content of the frame.
-    #[prost(oneof = "SyncBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "SyncBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<SyncBody>,
 }
 
@@ -213,6 +227,12 @@
     /// Answers an `EvidenceAsk`.
     #[prost(message, tag = "9")]
     EvidenceReply(EvidenceReply),
+    /// Asks for the moves that the receiver knows.
+    #[prost(message, tag = "10")]
+    MovesAsk(MovesAsk),
+    /// Answers a `MovesAsk`.
+    #[prost(message, tag = "11")]
+    MovesReply(MovesReply),
 }
 
 /// First frame in each direction.
@@ -303,6 +323,18 @@
     pub service: String,
 }
 
+/// Asks for the moves that the receiver knows.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct MovesAsk {}
+
+/// Moves that the receiver knows.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MovesReply {
+    /// `mesh::move_board::KnownMoves` as JSON.
+    #[prost(bytes = "vec", tag = "1")]
+    pub json: Vec<u8>,
+}
+
 /// Evidence counters of the receiver's own target.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct EvidenceReply {
--- a/src/wire_codec.rs
+++ b/src/wire_codec.rs
@@ -201,6 +201,8 @@
         SyncBody::JoinReply(_) => "JoinReply",
         SyncBody::EvidenceAsk(_) => "EvidenceAsk",
         SyncBody::EvidenceReply(_) => "EvidenceReply",
+        SyncBody::MovesAsk(_) => "MovesAsk",
+        SyncBody::MovesReply(_) => "MovesReply",
     }
 }
 
--- a/tests/gossip_codec.rs
+++ b/tests/gossip_codec.rs
@@ -30,6 +30,7 @@
         config_version: 2,
         events,
         kind: Some(GossipKind::Ping(Ping {})),
+        store_view: None,
     }
 }
 
