Pull configurations and join peers within the failure domain first

Change: a node told of a version by another domain waits up to 0.4 s for a peer of its own to have it; pushes go half to other domains and half to the own one; joins ask the own domain first, and its first node asks in the others. A join pulls no configuration of its own any more; the gossip does.

--- a/experiments/src/simulated_net.rs
+++ b/experiments/src/simulated_net.rs
@@ -82,6 +82,8 @@
     pub side: u8,
     /// Control bytes sent and received.
     pub bytes: u64,
+    /// Highest digest of moves that this node was told to ask for.
+    pub heard_moves: u64,
     paused_until: Duration,
     generation: u32,
     wanted: Option<NewerVersion>,
@@ -389,6 +391,7 @@
             is_up: true,
             side: 0,
             bytes: 0,
+            heard_moves: 0,
             paused_until: Duration::ZERO,
             generation: 0,
             wanted: None,
@@ -478,6 +481,10 @@
         if let Some(newer) = output.newer {
             self.want(from, newer);
         }
+        if let Some(newer) = output.newer_moves {
+            let node = &mut self.nodes[from];
+            node.heard_moves = node.heard_moves.max(newer.digest);
+        }
     }
 
     fn transmit(&mut self, from: usize, to: usize, datagram: Vec<u8>) {
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -44,6 +44,13 @@
 /// Longest random delay before a pull; spreads the pulls after a push.
 const PULL_JITTER: Duration = Duration::from_millis(50);
 
+/// Longest time for which a pull from another failure domain waits for a peer of the own one to have the version.
+/// Bytes between domains are scarce, and a whole configuration may take hundreds of kilobytes.
+const LOCAL_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Time between two looks for such a peer.
+const LOCAL_LOOK: Duration = Duration::from_millis(50);
+
 /// Shortest time between two joins of a node that knows no live peer.
 const REJOIN_PAUSE: Duration = Duration::from_secs(5);
 
@@ -391,8 +398,41 @@
         while let Some(newer) = self.next_wanted() {
             let jitter = PULL_JITTER.mul_f64(rand::random::<f64>());
             sleep(jitter).await;
-            self.pull_once(newer).await;
+            let begun = Instant::now();
+            let mut source = self.local_source(&newer);
+            while source.is_none() && begun.elapsed() < LOCAL_PATIENCE {
+                sleep(LOCAL_LOOK).await;
+                source = self.local_source(&newer);
+            }
+            self.pull_once(source.unwrap_or(newer)).await;
+        }
+    }
+
+    /// Returns the peer to pull from without crossing failure domains; none if it is worth waiting for one.
+    fn local_source(&self, newer: &NewerVersion) -> Option<NewerVersion> {
+        let own = &self.shared.node;
+        let version = self.shared.board.gate.version();
+        let members = self.shared.board.members.lock();
+        let is_local = |record: &&MemberRecord| {
+            record.domain == own.failure_domain
+                && record.node != own.id
+                && record.state == MemberState::Alive
+        };
+        let told = members.get(&newer.node);
+        let is_near = told.is_none_or(|told| told.domain == own.failure_domain);
+        let is_alone = !members.iter().any(|record| is_local(&record));
+        if is_near || is_alone || version >= newer.version {
+            return Some(newer.clone());
         }
+        let sources = members.iter().filter(is_local);
+        let source = sources
+            .filter(|record| record.applied_version > version)
+            .max_by_key(|record| record.applied_version)?;
+        Some(NewerVersion {
+            node: source.node.clone(),
+            address: source.peer_address,
+            version: source.applied_version,
+        })
     }
 
     /// Returns the peer to pull from; marks the pull as ended if there is nothing newer.
--- a/src/gossip/machine/packets.rs
+++ b/src/gossip/machine/packets.rs
@@ -104,7 +104,8 @@
         }
     }
 
-    /// Chooses half of the members in other failure domains and the rest anywhere.
+    /// Chooses half of the members in other failure domains and the rest in the own one, or anywhere if that has
+    /// too few.
     pub(super) fn choose_push_targets(
         &mut self,
         count: usize,
@@ -116,6 +117,13 @@
         let mut chosen =
             self.roster
                 .choose(tables.members, count.div_ceil(2), &mut self.rng, is_foreign);
+        let is_local =
+            |record: &MemberRecord| record.state == MemberState::Alive && &record.domain == domain;
+        let rest = count - chosen.len();
+        chosen.extend(
+            self.roster
+                .choose(tables.members, rest, &mut self.rng, is_local),
+        );
         let names: Vec<Arc<str>> = chosen.iter().map(|peer| peer.node.clone()).collect();
         let is_other = |record: &MemberRecord| {
             is_reachable(record) && !names.iter().any(|name| **name == *record.node)
--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -1,14 +1,16 @@
 //! Finds the other nodes by rows of the store; gossip does the rest.
+//!
+//! An answer to a join lists all members, so nodes ask those of their own failure domain first, and one node of each
+//! domain asks in the others.
 
 use {
     super::{
         context::MeshContext,
         port::{PeerRow, PlatformPort, PortError},
+        store_duty::is_reader,
     },
-    crate::{
-        config_sync::{PullOutcome, ask_join, pull_config},
-        ids::NodeId,
-    },
+    crate::{config_sync::ask_join, ids::NodeId, membership::MemberState},
+    rand::seq::IteratorRandom,
     std::{
         collections::HashMap,
         sync::Arc,
@@ -28,30 +30,49 @@
 /// Time between two rounds of joins with the nodes of the rows last read.
 const JOIN_PERIOD: Duration = Duration::from_millis(300);
 
+/// Time after which the first node of a domain asks unknown nodes of other domains; its own domain is known by then.
+const FIRST_FOREIGN: Duration = Duration::from_millis(400);
+
+/// Time after which any node does.
+const ANY_FOREIGN: Duration = Duration::from_secs(2);
+
 /// Nodes that are asked at once.
 const MAX_JOINS: usize = 6;
 
 /// Time for which a node that did not answer is not asked again.
 const SILENT_PAUSE: Duration = Duration::from_secs(5);
 
+/// Nodes of the rows that are yet to be met.
+#[derive(Debug, Default)]
+struct PeerSearch {
+    rows: Vec<PeerRow>,
+    /// Nodes that did not answer, and until when they are left alone.
+    silent: HashMap<NodeId, Instant>,
+    /// Since when some node of the rows is unknown.
+    unknown_since: Option<Instant>,
+}
+
 /// Writes where this node is, and joins the nodes that it finds, without end.
 pub async fn find_peers(context: Arc<MeshContext>, port: PlatformPort) {
     let own = PeerRow {
         node: context.settings.node.id.clone(),
+        domain: context.settings.node.failure_domain.clone(),
         peer_address: context.settings.node.peer_address,
     };
+    let mut search = PeerSearch::default();
     let mut written = false;
-    let mut rows = Vec::new();
     let mut list_at = Instant::now();
-    let mut silent: HashMap<NodeId, Instant> = HashMap::new();
     loop {
         if Instant::now() >= list_at {
             // A node that lists after its own write sees each node that has not yet listed, or is seen by it.
             written = written || report_failure((port.write_peer)(own.clone()).await).is_some();
-            rows = report_failure((port.list_peers)().await).unwrap_or(rows);
+            if let Some(rows) = report_failure((port.list_peers)().await) {
+                search.rows = rows;
+            }
             list_at = Instant::now() + list_period(&context, written);
         }
-        join_unknown(&context, &rows, &mut silent).await;
+        let asked = search.next_asked(&context, Instant::now());
+        join_all(&context, asked, &mut search.silent).await;
         sleep(JOIN_PERIOD).await;
     }
 }
@@ -71,25 +92,68 @@
         .ok()
 }
 
-/// Joins the nodes of the rows that gossip does not know as alive.
-async fn join_unknown(
-    context: &Arc<MeshContext>,
-    rows: &[PeerRow],
-    silent: &mut HashMap<NodeId, Instant>,
-) {
-    let now = Instant::now();
-    silent.retain(|_, until| now < *until);
-    let unknown: Vec<PeerRow> = {
+impl PeerSearch {
+    /// Returns the nodes to ask in this round.
+    fn next_asked(&mut self, context: &MeshContext, now: Instant) -> Vec<PeerRow> {
+        self.silent.retain(|_, until| now < *until);
+        let (near, far) = self.unknown(context);
+        if near.is_empty() && far.is_empty() {
+            self.unknown_since = None;
+            return Vec::new();
+        }
+        let since = *self.unknown_since.get_or_insert(now);
+        let patience = match is_reader(context) {
+            true => FIRST_FOREIGN,
+            false => ANY_FOREIGN,
+        };
+        let mut asked = near;
+        if now >= since + patience {
+            asked.extend(far);
+        } else if asked.is_empty() {
+            asked.extend(known_neighbour(context));
+        }
+        asked.truncate(MAX_JOINS);
+        asked
+    }
+
+    /// Returns the nodes of the rows that gossip does not know, by whether they are in the own failure domain.
+    fn unknown(&self, context: &MeshContext) -> (Vec<PeerRow>, Vec<PeerRow>) {
+        let own = &context.settings.node;
         let members = context.board.members.lock();
-        let is_unknown = |row: &PeerRow| {
-            row.node != context.settings.node.id
+        let is_unknown = |row: &&PeerRow| {
+            row.node != own.id
                 && members.get(&row.node).is_none()
-                && !silent.contains_key(&row.node)
+                && !self.silent.contains_key(&row.node)
         };
-        rows.iter().filter(|row| is_unknown(row)).cloned().collect()
-    };
+        let unknown = self.rows.iter().filter(is_unknown).cloned();
+        unknown.partition(|row| row.domain == own.failure_domain)
+    }
+}
+
+/// Returns a live node of the own failure domain, which may have met more nodes.
+fn known_neighbour(context: &MeshContext) -> Option<PeerRow> {
+    let own = &context.settings.node;
+    let members = context.board.members.lock();
+    let neighbours = members.iter().filter(|record| {
+        record.state == MemberState::Alive
+            && record.domain == own.failure_domain
+            && record.node != own.id
+    });
+    let chosen = neighbours.choose(&mut rand::rng())?;
+    Some(PeerRow {
+        node: chosen.node.clone(),
+        domain: chosen.domain.clone(),
+        peer_address: chosen.peer_address,
+    })
+}
+
+async fn join_all(
+    context: &Arc<MeshContext>,
+    asked: Vec<PeerRow>,
+    silent: &mut HashMap<NodeId, Instant>,
+) {
     let mut joins = JoinSet::new();
-    for row in unknown.into_iter().take(MAX_JOINS) {
+    for row in asked {
         let context = context.clone();
         joins.spawn(async move {
             let joined = join(&context, &row).await;
@@ -99,37 +163,23 @@
     while let Some(ended) = joins.join_next().await {
         match ended {
             Ok((_, true)) => {}
-            Ok((node, false)) => drop(silent.insert(node, now + SILENT_PAUSE)),
+            Ok((node, false)) => drop(silent.insert(node, Instant::now() + SILENT_PAUSE)),
             Err(error) => warn!(%error, "a join ended early"),
         }
     }
 }
 
-/// Exchanges members with a node, and takes its configuration if it is newer.
+/// Exchanges members with a node; a newer configuration is then pulled by the gossip.
 async fn join(context: &MeshContext, row: &PeerRow) -> bool {
-    let answer = match ask_join(row.peer_address, &context.gossip).await {
-        Ok(answer) => answer,
+    match ask_join(row.peer_address, &context.gossip).await {
+        Ok(answer) => {
+            let members = context.gossip.take_join_reply(&answer.reply);
+            info!(peer = answer.node, members, "joined");
+            true
+        }
         Err(error) => {
             debug!(peer = row.node, %error, "a peer did not answer the join");
-            return false;
-        }
-    };
-    let members = context.gossip.take_join_reply(&answer.reply);
-    info!(peer = answer.node, members, "joined");
-    if answer.reply.config_version > context.board.gate.version() {
-        let own = &context.settings.node.id;
-        match pull_config(row.peer_address, own, &context.board).await {
-            Ok(PullOutcome::Applied { version }) => {
-                info!(
-                    decision = "apply",
-                    version,
-                    origin = row.node,
-                    "configuration in force"
-                );
-            }
-            Ok(_) => {}
-            Err(error) => warn!(peer = row.node, %error, "pull failed"),
+            false
         }
     }
-    true
 }
--- a/src/mesh/port.rs
+++ b/src/mesh/port.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         config::ConfigSnapshot,
-        ids::{NodeId, ServiceName, VersionName},
+        ids::{DomainName, NodeId, ServiceName, VersionName},
     },
     futures::future::BoxFuture,
     serde::{Deserialize, Serialize},
@@ -133,6 +133,8 @@
 pub struct PeerRow {
     /// Name of the node.
     pub node: NodeId,
+    /// Failure domain of the node.
+    pub domain: DomainName,
     /// Address for gossip and synchronisation.
     pub peer_address: SocketAddr,
 }
