Leave rows of lost nodes alone after a join met another node or none

Change: a join counts only if the node of the row answers; otherwise the pause before the next try doubles from 5 s to 300 s.

--- a/src/mesh/peers.rs
+++ b/src/mesh/peers.rs
@@ -39,19 +39,28 @@
 /// Nodes that are asked at once.
 const MAX_JOINS: usize = 6;
 
-/// Time for which a node that did not answer is not asked again.
-const SILENT_PAUSE: Duration = Duration::from_secs(5);
+/// First and longest time for which a node that was not met at its address is not asked again. Rows of nodes that are
+/// gone for good stay in the store, and other nodes may have their addresses.
+const ABSENT_PAUSE: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(300));
 
 /// Nodes of the rows that are yet to be met.
 #[derive(Debug, Default)]
 struct PeerSearch {
     rows: Vec<PeerRow>,
-    /// Nodes that did not answer, and until when they are left alone.
-    silent: HashMap<NodeId, Instant>,
+    /// Nodes that were not met at their addresses.
+    absent: HashMap<NodeId, AbsentNode>,
     /// Since when some node of the rows is unknown.
     unknown_since: Option<Instant>,
 }
 
+/// A node that was not met at the address of its row.
+#[derive(Clone, Copy, Debug)]
+struct AbsentNode {
+    /// Until when it is not asked again.
+    until: Instant,
+    pause: Duration,
+}
+
 /// Writes where this node is, and joins the nodes that it finds, without end.
 pub async fn find_peers(context: Arc<MeshContext>, port: PlatformPort) {
     let own = PeerRow {
@@ -72,7 +81,7 @@
             list_at = Instant::now() + list_period(&context, written);
         }
         let asked = search.next_asked(&context, Instant::now());
-        join_all(&context, asked, &mut search.silent).await;
+        join_all(&context, asked, &mut search.absent).await;
         sleep(JOIN_PERIOD).await;
     }
 }
@@ -95,8 +104,7 @@
 impl PeerSearch {
     /// Returns the nodes to ask in this round.
     fn next_asked(&mut self, context: &MeshContext, now: Instant) -> Vec<PeerRow> {
-        self.silent.retain(|_, until| now < *until);
-        let (near, far) = self.unknown(context);
+        let (near, far) = self.unknown(context, now);
         if near.is_empty() && far.is_empty() {
             self.unknown_since = None;
             return Vec::new();
@@ -117,13 +125,16 @@
     }
 
     /// Returns the nodes of the rows that gossip does not know, by whether they are in the own failure domain.
-    fn unknown(&self, context: &MeshContext) -> (Vec<PeerRow>, Vec<PeerRow>) {
+    fn unknown(&self, context: &MeshContext, now: Instant) -> (Vec<PeerRow>, Vec<PeerRow>) {
         let own = &context.settings.node;
         let members = context.board.members.lock();
         let is_unknown = |row: &&PeerRow| {
             row.node != own.id
                 && members.get(&row.node).is_none()
-                && !self.silent.contains_key(&row.node)
+                && self
+                    .absent
+                    .get(&row.node)
+                    .is_none_or(|absent| now >= absent.until)
         };
         let unknown = self.rows.iter().filter(is_unknown).cloned();
         unknown.partition(|row| row.domain == own.failure_domain)
@@ -150,7 +161,7 @@
 async fn join_all(
     context: &Arc<MeshContext>,
     asked: Vec<PeerRow>,
-    silent: &mut HashMap<NodeId, Instant>,
+    absent: &mut HashMap<NodeId, AbsentNode>,
 ) {
     let mut joins = JoinSet::new();
     for row in asked {
@@ -162,20 +173,27 @@
     }
     while let Some(ended) = joins.join_next().await {
         match ended {
-            Ok((_, true)) => {}
-            Ok((node, false)) => drop(silent.insert(node, Instant::now() + SILENT_PAUSE)),
+            Ok((node, true)) => drop(absent.remove(&node)),
+            Ok((node, false)) => {
+                let known = absent.get(&node);
+                let pause = known.map_or(ABSENT_PAUSE.0, |known| known.pause * 2);
+                let pause = pause.min(ABSENT_PAUSE.1);
+                let until = Instant::now() + pause;
+                absent.insert(node, AbsentNode { until, pause });
+            }
             Err(error) => warn!(%error, "a join ended early"),
         }
     }
 }
 
-/// Exchanges members with a node; a newer configuration is then pulled by the gossip.
+/// Exchanges members with a node, and returns whether it is the one of the row; a newer configuration is then pulled
+/// by the gossip.
 async fn join(context: &MeshContext, row: &PeerRow) -> bool {
     match ask_join(row.peer_address, &context.gossip).await {
         Ok(answer) => {
             let members = context.gossip.take_join_reply(&answer.reply);
             info!(peer = answer.node, members, "joined");
-            true
+            answer.node == row.node
         }
         Err(error) => {
             debug!(peer = row.node, %error, "a peer did not answer the join");
