Let the cost of another failure domain grow with the body of the request

Change: 0.02 of an answer's value for each KB of the body is added to the cost of another domain. Test: a_long_body_stays_in_a_busy_failure_domain_where_a_short_one_leaves (written with the change; without the addition both lengths leave).

--- a/src/mesh/choice.rs
+++ b/src/mesh/choice.rs
@@ -55,6 +55,8 @@
     pub due: Duration,
     /// Failure domain of the entry node.
     pub own_domain: &'a DomainName,
+    /// Length of the request's body.
+    pub body_bytes: usize,
 }
 
 /// How an attempt at a target ended.
@@ -116,6 +118,10 @@
 /// Cost of a target in another failure domain, in parts of the value of an answer.
 const REMOTE_COST: f64 = 0.3;
 
+/// The same for each byte of the request's body: bytes between domains are scarce, so that an upload goes there only
+/// where it would else be late by far.
+const REMOTE_COST_PER_BYTE: f64 = 0.02 / 1024.0;
+
 /// Cost of a target that fails every call, in parts of the value of an answer.
 const FAILURE_COST: f64 = 2.0;
 
@@ -187,7 +193,7 @@
             let paused = self.is_paused(&candidate.node, now);
             let mut cost = self.cost(candidate, needs, now);
             if &candidate.domain != needs.own_domain {
-                cost += REMOTE_COST;
+                cost += REMOTE_COST + REMOTE_COST_PER_BYTE * needs.body_bytes as f64;
             }
             cost *= 1.0 + JITTER_PART * rng.random::<f64>();
             if best
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -356,6 +356,7 @@
                 route: &call.route.name,
                 due: call.route.objective,
                 own_domain: &context.settings.node.failure_domain,
+                body_bytes: call.content.len(),
             },
             Instant::now(),
             &mut rand::rng(),
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -51,11 +51,22 @@
 }
 
 fn chosen(loads: &PeerLoads, tried: &[String], now: Instant) -> Option<String> {
+    chosen_for(loads, tried, 0, now)
+}
+
+/// Returns the target of a call with a body of this length.
+fn chosen_for(
+    loads: &PeerLoads,
+    tried: &[String],
+    body_bytes: usize,
+    now: Instant,
+) -> Option<String> {
     let domain = "bunbury".to_owned();
     let needs = CallNeeds {
         route: "jobs",
         due: Duration::from_millis(500),
         own_domain: &domain,
+        body_bytes,
     };
     let targets = [
         endpoint("far", "albany", "v1"),
@@ -88,6 +99,20 @@
     assert_eq!(chosen(&loads, &[], now).as_deref(), Some("far"));
 }
 
+/// Guards against long bodies that cross failure domains for a small gain.
+#[test]
+fn a_long_body_stays_in_a_busy_failure_domain_where_a_short_one_leaves() {
+    let now = Instant::now();
+    let mut loads = PeerLoads::default();
+    loads.take_report("near", "jobs", load(6, 10), now);
+    loads.take_report("far", "jobs", load(0, 0), now);
+
+    let of_length = |bytes| chosen_for(&loads, &[], bytes, now);
+
+    assert_eq!(of_length(0).as_deref(), Some("far"));
+    assert_eq!(of_length(60_000).as_deref(), Some("near"));
+}
+
 /// Guards against calls that run into an unreachable node again and again.
 #[test]
 fn an_unreachable_target_is_paused_and_tried_again_later() {
@@ -114,6 +139,7 @@
         route: "jobs",
         due: Duration::from_millis(500),
         own_domain: &domain,
+        body_bytes: 0,
     };
     let targets = [
         endpoint("near", "bunbury", "v1"),
