Let a draining node end kept connections with an answer

Connections in the listener's queue were reset when it was dropped.

Change: answers of a draining HTTP/1 server carry 'Connection: close', so that each kept connection ends with an answer. At the end of the grace the queue of the listener is accepted first, and connections stay open for a further 0.5 s, in which requests that are on their way are refused as not run.

--- a/src/call_proxy/http_server.rs
+++ b/src/call_proxy/http_server.rs
@@ -2,13 +2,20 @@
 
 use {
     super::ExchangeBody,
-    http::{Request, Response},
+    futures::future::{BoxFuture, FutureExt},
+    http::{HeaderValue, Request, Response, Version, header::CONNECTION},
     hyper::{body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{conn::auto::Builder, graceful::GracefulShutdown},
     },
-    std::{convert::Infallible, future::Future, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        future::Future,
+        io::{self, ErrorKind},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
@@ -17,11 +24,16 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-/// Time for which a draining server still refuses calls before it closes connections.
+/// Time for which a draining server still accepts connections and refuses calls.
 ///
-/// Clients learn of the departure within this time, so no request meets a connection that closes.
+/// Clients learn of the departure within this time: each answer asks them not to use its connection again.
 pub const DRAIN_GRACE: Duration = Duration::from_secs(3);
 
+/// Time for which connections stay open after the server stops accepting.
+///
+/// A client may have opened one at the last moment, or have sent its next request on a kept one.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// Time after the last exchange for which a draining server waits for slow receivers.
 const FLUSH_LIMIT: Duration = Duration::from_secs(10);
 
@@ -42,7 +54,7 @@
 pub struct DrainPlan {
     /// Cancelled when the server is to drain.
     pub drain: CancellationToken,
-    /// Time for which calls are refused before connections are closed.
+    /// Time for which connections are still accepted, and their calls refused.
     pub grace: Duration,
     /// Exchanges in progress.
     pub exchanges: TaskTracker,
@@ -61,6 +73,7 @@
         sleep(plan.grace).await;
     };
     tokio::pin!(closing);
+    let handler = ending_handler(handler, plan.drain.clone());
     loop {
         tokio::select! {
             () = &mut closing => break,
@@ -69,7 +82,13 @@
             }
         }
     }
-    drop(listener);
+    for stream in take_backlog(listener) {
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            break;
+        };
+        spawn_connection(stream, Some(place), &graceful, handler.clone());
+    }
+    sleep(LAST_REQUEST_TIME).await;
     plan.exchanges.close();
     tokio::select! {
         () = graceful.shutdown() => {}
@@ -77,6 +96,58 @@
     }
 }
 
+/// Returns a handler whose answers end their connections once the server drains.
+///
+/// A connection that the server closes while it is idle may cut off a request that is on its way. HTTP/2 has a
+/// message of its own for this.
+fn ending_handler<H, F>(
+    handler: H,
+    drain: CancellationToken,
+) -> impl Fn(Request<Incoming>) -> BoxFuture<'static, Response<ExchangeBody>> + Clone + Send + 'static
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<ExchangeBody>> + Send + 'static,
+{
+    move |request| {
+        let has_streams = request.version() == Version::HTTP_2;
+        let answer = handler(request);
+        let drain = drain.clone();
+        async move {
+            let mut answer = answer.await;
+            if drain.is_cancelled() && !has_streams {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            answer
+        }
+        .boxed()
+    }
+}
+
+/// Returns the connections that wait to be accepted; the system resets those left when a listener is dropped.
+fn take_backlog(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    if let Err(cause) = accept_waiting(listener, &mut streams) {
+        tracing::warn!(step = "accept the last connections", error = %cause);
+    }
+    streams
+}
+
+fn accept_waiting(listener: TcpListener, streams: &mut Vec<TcpStream>) -> io::Result<()> {
+    // Unlike the runtime's listener, this one also sees what came since the runtime last looked.
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                streams.push(TcpStream::from_std(stream)?);
+            }
+            Err(cause) if cause.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(cause) => return Err(cause),
+        }
+    }
+}
+
 async fn flushed(exchanges: &TaskTracker) {
     exchanges.wait().await;
     sleep(FLUSH_LIMIT).await;
--- a/tests/call_drain.rs
+++ b/tests/call_drain.rs
@@ -5,8 +5,8 @@
 
 use {
     self::cluster::{
-        TEST_GRACE, TestNode, WAIT_LIMIT, call, client, exchange, link, plan, request, start_node,
-        wait_until, whole_body,
+        HOST_NAME, TEST_GRACE, TestNode, WAIT_LIMIT, call, client, exchange, link, plan, request,
+        start_node, wait_until, whole_body,
     },
     bytes::Bytes,
     futures::stream,
@@ -18,6 +18,8 @@
     },
     std::io::Error,
     tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
         sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
         time::{sleep, timeout},
     },
@@ -203,3 +205,81 @@
         .await
         .expect("the target's node ends");
 }
+
+async fn open_connection(node: &TestNode) -> TcpStream {
+    TcpStream::connect(node.call_address)
+        .await
+        .expect("the node listens")
+}
+
+/// Sends a call on a connection and returns the answer's head, or what came of it before the connection's end.
+async fn call_on(stream: &mut TcpStream, id: &str) -> String {
+    let asked = format!(
+        "POST /signoff HTTP/1.1\r\nhost: {HOST_NAME}\r\nx-call-id: {id}\r\ncontent-length: 0\r\n\r\n"
+    );
+    // A connection that is closed meanwhile shows in the answer.
+    let _ = stream.write_all(asked.as_bytes()).await;
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match timeout(WAIT_LIMIT, stream.read_u8()).await.expect("ends") {
+            Ok(byte) => head.push(byte),
+            Err(_) => break,
+        }
+    }
+    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let length = length.map_or(0, |length| length.parse().expect("a number"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.expect("the whole body");
+    head
+}
+
+/// Guards against a kept connection that a draining node closes while the next request crosses the close: the
+/// caller must be told with the last answer not to use it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_node_ends_kept_connections_with_an_answer() {
+    let (entry, other, _target) = two_nodes(TargetScript::default()).await;
+    let mut kept = open_connection(&entry).await;
+    let before = call_on(&mut kept, "before").await;
+
+    entry.drain.cancel();
+    let after = call_on(&mut kept, "after").await;
+
+    assert!(before.starts_with("http/1.1 200"), "{before}");
+    assert!(!before.contains("connection: close"), "{before}");
+    assert!(after.starts_with("http/1.1 503"), "{after}");
+    assert!(after.contains("connection: close"), "{after}");
+    drop(other);
+}
+
+/// Guards against a request that is lost because its connection was opened, or last used, shortly before the node
+/// stopped listening.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_just_after_the_grace_is_answered_on_an_open_connection() {
+    let (entry, other, _target) = two_nodes(TargetScript::default()).await;
+    let mut kept = open_connection(&entry).await;
+    let before = call_on(&mut kept, "before").await;
+    entry.drain.cancel();
+    let mut fresh = open_connection(&entry).await;
+    wait_until("the node no longer listens", || {
+        std::net::TcpStream::connect(entry.call_address).is_err()
+    })
+    .await;
+
+    let answers = [
+        call_on(&mut kept, "kept").await,
+        call_on(&mut fresh, "fresh").await,
+    ];
+
+    assert!(before.starts_with("http/1.1 200"), "{before}");
+    for answer in answers {
+        assert!(answer.starts_with("http/1.1 503"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+    }
+    timeout(WAIT_LIMIT, entry.drained())
+        .await
+        .expect("the entry node ends");
+    drop(other);
+}
