Learn the service time of a target from its first calls

A node that has just started assumed 100 ms a call, while cold targets took 500 to 900 ms, so each took a queue of calls that could not end in time. It learned slowly (weight 0.08 from 100 ms on) and not at all from calls given up at their deadline, which were left out of the average.

Change: before the first call has ended, a call is assumed to take half of the time within which its answer has its full value. The average is that of all calls at first. A call that was given up counts if it took longer than the average.

--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -14,12 +14,17 @@
     tokio::sync::oneshot,
 };
 
-/// Weight of the newest call in the average of the service time.
+/// Least weight of the newest call in the average of the service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.08;
 
-/// Service time assumed before the first call has ended.
+/// Service time told to other nodes before the first call has ended.
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
 
+/// Part of the time within which an answer has its full value that a call is assumed to take before one has ended.
+///
+/// A lower one fills the queue of a target that has just started with calls that cannot end in time.
+const FIRST_SERVICE_PART: f64 = 0.5;
+
 /// Time by which a call goes before one of the next lower rank that is due together with it.
 const RANK_STEP: Duration = Duration::from_millis(150);
 
@@ -79,8 +84,8 @@
     slots: u32,
     running: u32,
     waiting: BTreeMap<WaiterKey, Waiter>,
-    service_time: Duration,
-    route_times: HashMap<RouteName, Duration>,
+    service_time: AverageTime,
+    route_times: HashMap<RouteName, AverageTime>,
     next_number: u64,
     closed: bool,
 }
@@ -120,7 +125,7 @@
             slots: 1,
             running: 0,
             waiting: BTreeMap::new(),
-            service_time: FIRST_SERVICE_TIME,
+            service_time: AverageTime::default(),
             route_times: HashMap::new(),
             next_number: 0,
             closed: false,
@@ -157,23 +162,21 @@
     pub fn load_for(&self, route: &str) -> TargetLoad {
         let state = self.state.lock();
         TargetLoad {
-            route_time: state.route_time(route),
+            route_time: state.route_time(route, FIRST_SERVICE_TIME),
             ..state.load()
         }
     }
 
     /// Adds the time that a call took at the target to the averages.
     pub fn note_service_time(&self, route: &str, elapsed: Duration) {
+        self.state.lock().note_service_time(route, elapsed);
+    }
+
+    /// Adds the time after which a call was given up; it tells something only if it is above the average.
+    pub fn note_given_up(&self, route: &str, elapsed: Duration) {
         let mut state = self.state.lock();
-        state.service_time = averaged(state.service_time, elapsed);
-        match state.route_times.get_mut(route) {
-            Some(known) => *known = averaged(*known, elapsed),
-            None => {
-                if state.route_times.len() >= MAX_ROUTE_TIMES {
-                    state.route_times.clear();
-                }
-                state.route_times.insert(route.to_owned(), elapsed);
-            }
+        if elapsed > state.route_time(route, Duration::ZERO) {
+            state.note_service_time(route, elapsed);
         }
     }
 
@@ -200,8 +203,9 @@
             return Ok(Entry::Admitted(permit));
         }
         let due = now + ask.due + RANK_STEP * ask.rank;
-        let service = state.route_time(ask.route);
-        let finish = state.expected_wait(due) + service;
+        let assumed = ask.due.mul_f64(FIRST_SERVICE_PART);
+        let service = state.route_time(ask.route, assumed);
+        let finish = state.expected_wait(due, assumed) + service;
         let left = ask.deadline.saturating_duration_since(now);
         if finish > ask.finish_within.min(left) {
             return Err(AdmissionRefusal::Full);
@@ -229,30 +233,47 @@
 
 impl QueueState {
     fn load(&self) -> TargetLoad {
+        let service_time = self.service_time.or_assumed(FIRST_SERVICE_TIME);
         TargetLoad {
             running: self.running,
             waiting: self.waiting.len() as u32,
             slots: self.slots,
-            service_time: self.service_time,
-            route_time: self.service_time,
+            service_time,
+            route_time: service_time,
         }
     }
 
-    fn route_time(&self, route: &str) -> Duration {
-        let known = self.route_times.get(route);
-        known.copied().unwrap_or(self.service_time)
+    /// Returns the average time of a route, or of all, or the assumed one if no call has ended yet.
+    fn route_time(&self, route: &str, assumed: Duration) -> Duration {
+        let known = self.route_times.get(route).unwrap_or(&self.service_time);
+        known.or_assumed(assumed)
     }
 
-    fn expected_wait(&self, due: Instant) -> Duration {
+    fn expected_wait(&self, due: Instant, assumed: Duration) -> Duration {
         let before = (due, u64::MAX);
         let ahead = self.waiting.range(..before).count() as u32;
         let load = TargetLoad {
             waiting: ahead,
+            service_time: self.service_time.or_assumed(assumed),
             ..self.load()
         };
         load.expected_wait()
     }
 
+    fn note_service_time(&mut self, route: &str, elapsed: Duration) {
+        self.service_time.add(elapsed);
+        if let Some(known) = self.route_times.get_mut(route) {
+            known.add(elapsed);
+            return;
+        }
+        if self.route_times.len() >= MAX_ROUTE_TIMES {
+            self.route_times.clear();
+        }
+        let mut first = AverageTime::default();
+        first.add(elapsed);
+        self.route_times.insert(route.to_owned(), first);
+    }
+
     /// Gives free slots to waiting calls; those that can no longer be done in time are refused.
     fn admit_next(&mut self) {
         let now = Instant::now();
@@ -270,9 +291,26 @@
     }
 }
 
-fn averaged(old: Duration, newest: Duration) -> Duration {
-    let (old, newest) = (old.as_secs_f64(), newest.as_secs_f64());
-    Duration::from_secs_f64(old + SERVICE_TIME_WEIGHT * (newest - old))
+/// Average of times: of all at first, then with the least weight for the newest.
+#[derive(Clone, Copy, Debug, Default)]
+struct AverageTime {
+    seconds: f64,
+    count: u32,
+}
+
+impl AverageTime {
+    fn add(&mut self, newest: Duration) {
+        self.count = self.count.saturating_add(1);
+        let weight = SERVICE_TIME_WEIGHT.max(1.0 / f64::from(self.count));
+        self.seconds += weight * (newest.as_secs_f64() - self.seconds);
+    }
+
+    fn or_assumed(&self, assumed: Duration) -> Duration {
+        match self.count {
+            0 => assumed,
+            _ => Duration::from_secs_f64(self.seconds),
+        }
+    }
 }
 
 enum Entry {
--- a/src/mesh/evidence.rs
+++ b/src/mesh/evidence.rs
@@ -47,9 +47,10 @@
     fn record(&mut self, failed: bool) {
         self.ended = true;
         let latency = self.begun.elapsed();
-        if !failed {
-            let queue = &self.context.queue;
-            queue.note_service_time(&self.choice.route, latency);
+        let queue = &self.context.queue;
+        match failed {
+            true => queue.note_given_up(&self.choice.route, latency),
+            false => queue.note_service_time(&self.choice.route, latency),
         }
         let observation = CallObservation {
             key: self.choice.service.clone(),
--- a/tests/mesh_admission.rs
+++ b/tests/mesh_admission.rs
@@ -118,3 +118,60 @@
     assert!(queue.load_for("jobs").route_time < SERVICE * 2);
     assert!(queue.load_for("footage").route_time > SERVICE * 5);
 }
+
+/// Guards against a target that has just started and takes a queue of calls that it cannot end in time, because a
+/// short service time is assumed.
+#[tokio::test]
+async fn a_target_without_an_ended_call_keeps_a_short_queue() {
+    let queue = AdmissionQueue::default();
+    queue.open(2);
+    let due = Duration::from_secs(1);
+    let mut places = Vec::new();
+    for _ in 0..20 {
+        let queue = queue.clone();
+        places.push(tokio::spawn(async move {
+            let permit = queue.acquire(ask(due, 1, due)).await;
+            if permit.is_ok() {
+                sleep(Duration::from_secs(20)).await;
+            }
+            permit.is_ok()
+        }));
+    }
+    sleep(Duration::from_millis(20)).await;
+
+    let load = queue.load();
+    places.iter().for_each(|place| place.abort());
+
+    assert_eq!(load.running, 2);
+    assert!(load.waiting <= 2, "{load:?}");
+}
+
+/// Guards against a new target whose real service time is known only after many calls.
+#[tokio::test]
+async fn the_first_calls_that_end_tell_the_service_time() {
+    let queue = AdmissionQueue::default();
+    queue.open(2);
+
+    for _ in 0..3 {
+        queue.note_service_time("jobs", SERVICE * 8);
+    }
+
+    assert_eq!(queue.load().service_time, SERVICE * 8);
+    assert_eq!(queue.load_for("jobs").route_time, SERVICE * 8);
+}
+
+/// Guards against a target that has become so slow that no call ends, and still counts as fast.
+#[tokio::test]
+async fn calls_that_are_given_up_raise_the_service_time() {
+    let queue = queue_with_slots(2);
+
+    for _ in 0..20 {
+        queue.note_given_up("jobs", SERVICE * 15);
+    }
+    let slow = queue.load();
+    queue.note_given_up("jobs", SERVICE);
+    let after = queue.load();
+
+    assert!(slow.service_time > SERVICE * 10, "{slow:?}");
+    assert_eq!(after.service_time, slow.service_time);
+}
