Let calls that run on raise the expected wait of a full target

Cause: at a full target whose calls have just begun to take long, as cold targets after a mass start, the average of ended calls is too low until some end, and those that end first are the fast ones.

Change: while all slots are taken, the expected wait counts with the average age of the running calls if that is above the average service time. Before the first call has ended, a call is assumed to take its whole objective, so that no queue forms.

Test: calls_that_run_on_raise_the_expected_wait_of_a_full_target.

--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -22,8 +22,9 @@
 
 /// Part of the time within which an answer has its full value that a call is assumed to take before one has ended.
 ///
-/// A lower one fills the queue of a target that has just started with calls that cannot end in time.
-const FIRST_SERVICE_PART: f64 = 0.5;
+/// With the whole of it, no queue forms at a target that has just started until its calls tell what they take; a
+/// shorter time fills the queue with calls that cannot end in time.
+const FIRST_SERVICE_PART: f64 = 1.0;
 
 /// Time by which a call goes before one of the next lower rank that is due together with it.
 const RANK_STEP: Duration = Duration::from_millis(150);
@@ -74,15 +75,19 @@
 /// A call that waits.
 #[derive(Debug)]
 struct Waiter {
-    admit: oneshot::Sender<()>,
+    admit: oneshot::Sender<Instant>,
     /// When it is too late to start the call.
     useful_until: Instant,
 }
 
 #[derive(Debug)]
 struct QueueState {
+    /// Since when the starts of running calls are counted.
+    epoch: Instant,
     slots: u32,
     running: u32,
+    /// Sum of the times from the epoch to the starts of the running calls, in seconds.
+    started_sum: f64,
     waiting: BTreeMap<WaiterKey, Waiter>,
     service_time: AverageTime,
     route_times: HashMap<RouteName, AverageTime>,
@@ -92,7 +97,8 @@
 
 /// Slots of a target with an ordered queue.
 ///
-/// Invariant: at most `slots` permits are out unless the slots were reduced while they were.
+/// Invariants: at most `slots` permits are out unless the slots were reduced while they were; `running` and
+/// `started_sum` count the permits that are out or given to a waiting call.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     state: Arc<Mutex<QueueState>>,
@@ -102,6 +108,7 @@
 #[derive(Debug)]
 pub struct SlotPermit {
     state: Arc<Mutex<QueueState>>,
+    started: Instant,
 }
 
 /// What a call says about itself when it asks for a slot.
@@ -122,8 +129,10 @@
 impl Default for AdmissionQueue {
     fn default() -> Self {
         let state = QueueState {
+            epoch: Instant::now(),
             slots: 1,
             running: 0,
+            started_sum: 0.0,
             waiting: BTreeMap::new(),
             service_time: AverageTime::default(),
             route_times: HashMap::new(),
@@ -196,9 +205,10 @@
             return Err(AdmissionRefusal::Closed);
         }
         if state.running < state.slots {
-            state.running += 1;
+            state.start(now);
             let permit = SlotPermit {
                 state: self.state.clone(),
+                started: now,
             };
             return Ok(Entry::Admitted(permit));
         }
@@ -233,13 +243,13 @@
 
 impl QueueState {
     fn load(&self) -> TargetLoad {
-        let service_time = self.service_time.or_assumed(FIRST_SERVICE_TIME);
+        let known = self.service_time.or_assumed(FIRST_SERVICE_TIME);
         TargetLoad {
             running: self.running,
             waiting: self.waiting.len() as u32,
             slots: self.slots,
-            service_time,
-            route_time: service_time,
+            service_time: known.max(self.full_age()),
+            route_time: known,
         }
     }
 
@@ -254,7 +264,7 @@
         let ahead = self.waiting.range(..before).count() as u32;
         let load = TargetLoad {
             waiting: ahead,
-            service_time: self.service_time.or_assumed(assumed),
+            service_time: self.service_time.or_assumed(assumed).max(self.full_age()),
             ..self.load()
         };
         load.expected_wait()
@@ -284,11 +294,40 @@
             if waiter.useful_until < now {
                 continue;
             }
-            if waiter.admit.send(()).is_ok() {
-                self.running += 1;
+            if waiter.admit.send(now).is_ok() {
+                self.start(now);
             }
         }
     }
+
+    fn start(&mut self, at: Instant) {
+        self.running += 1;
+        self.started_sum += self.since_epoch(at);
+    }
+
+    fn stop(&mut self, started: Instant) {
+        self.running = self.running.saturating_sub(1);
+        self.started_sum -= self.since_epoch(started);
+        if self.running == 0 {
+            // Sums of rounded times must not drift.
+            self.started_sum = 0.0;
+        }
+    }
+
+    fn since_epoch(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.epoch).as_secs_f64()
+    }
+
+    /// Returns for how long the running calls have run on average, if they take all slots: calls that run on and on
+    /// tell that the target has become slow before any of them has ended.
+    fn full_age(&self) -> Duration {
+        if self.running < self.slots {
+            return Duration::ZERO;
+        }
+        let started = self.started_sum / f64::from(self.running);
+        let age = self.since_epoch(Instant::now()) - started;
+        Duration::from_secs_f64(age.max(0.0))
+    }
 }
 
 /// Average of times: of all at first, then with the least weight for the newest.
@@ -322,17 +361,18 @@
 struct WaitPlace {
     state: Arc<Mutex<QueueState>>,
     key: WaiterKey,
-    admitted: oneshot::Receiver<()>,
+    admitted: oneshot::Receiver<Instant>,
     taken: bool,
 }
 
 impl WaitPlace {
     async fn wait(mut self) -> Result<SlotPermit, AdmissionRefusal> {
         match (&mut self.admitted).await {
-            Ok(()) => {
+            Ok(started) => {
                 self.taken = true;
                 Ok(SlotPermit {
                     state: self.state.clone(),
+                    started,
                 })
             }
             Err(_) => {
@@ -351,8 +391,8 @@
         let mut state = self.state.lock();
         state.waiting.remove(&self.key);
         // The slot may have been given to this place between the last poll and the drop.
-        if self.admitted.try_recv().is_ok() {
-            state.running -= 1;
+        if let Ok(started) = self.admitted.try_recv() {
+            state.stop(started);
             state.admit_next();
         }
     }
@@ -361,7 +401,7 @@
 impl Drop for SlotPermit {
     fn drop(&mut self) {
         let mut state = self.state.lock();
-        state.running = state.running.saturating_sub(1);
+        state.stop(self.started);
         state.admit_next();
     }
 }
--- a/tests/mesh_admission.rs
+++ b/tests/mesh_admission.rs
@@ -175,3 +175,22 @@
     assert!(slow.service_time > SERVICE * 10, "{slow:?}");
     assert_eq!(after.service_time, slow.service_time);
 }
+
+/// Guards against calls that wait at a target that has become slow, until the first of its calls ends.
+#[tokio::test]
+async fn calls_that_run_on_raise_the_expected_wait_of_a_full_target() {
+    let queue = queue_with_slots(2);
+    let first = queue.acquire(patient()).await.expect("first slot");
+    let _second = queue.acquire(patient()).await.expect("second slot");
+    sleep(SERVICE * 4).await;
+
+    let full = queue.load();
+    let hasty = ask(Duration::from_secs(1), 1, SERVICE * 3);
+    let refused = queue.acquire(hasty).await;
+    drop(first);
+    let with_room = queue.load();
+
+    assert!(full.expected_wait() >= SERVICE * 2, "{full:?}");
+    assert_eq!(refused.err(), Some(AdmissionRefusal::Full));
+    assert!(with_room.service_time < SERVICE * 2, "{with_room:?}");
+}
