Log each move heard of from a peer, also when it has ended

Cause: a node that learned of a move from a peer logged the open moves only, so the log of most nodes did not say when and by whose word a version was completed or taken back.

Change: taking over a peer's moves returns those of which it was news, and each is logged once with its state, share, writer and reason. The code that follows peers' moves has its own file, heard_moves.

Test: moves_told_by_a_peer_are_news_once_also_when_they_have_ended; the function it calls did not tell this before.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod entry_call;
 pub mod evidence;
+pub mod heard_moves;
 pub mod hop;
 pub mod http;
 pub mod move_board;
--- a/src/mesh/move_board.rs
+++ b/src/mesh/move_board.rs
@@ -66,16 +66,23 @@
         true
     }
 
-    /// Takes over what a peer knows; returns whether any of it is new.
-    pub fn merge(&mut self, known: KnownMoves) -> bool {
-        let mut is_new = false;
+    /// Takes over what a peer knows; returns the moves of which it is news.
+    pub fn merge(&mut self, known: KnownMoves) -> Vec<MoveView> {
+        let mut changed = BTreeSet::new();
         for order in known.orders {
-            is_new |= self.add_order(order);
+            let service = order.service.clone();
+            if self.add_order(order) {
+                changed.insert(service);
+            }
         }
         for stored in known.records {
-            is_new |= self.add_record(stored);
+            let service = stored.record.order.service.clone();
+            if self.add_record(stored) {
+                changed.insert(service);
+            }
         }
-        is_new
+        let views = changed.iter().filter_map(|service| self.view(service));
+        views.collect()
     }
 
     /// Returns all orders and records.
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -4,9 +4,10 @@
     super::{
         context::MeshContext,
         entry::answer_call,
+        heard_moves::hear_moves,
         http::{ServerStop, read_whole, serve},
         move_driver::drive_moves,
-        orders::{StoreClock, follow_moves, follow_orders, hear_moves},
+        orders::{StoreClock, follow_moves, follow_orders},
         peers::find_peers,
         port::PlatformPort,
         refusal::WholeBody,
--- a/src/mesh/orders.rs
+++ b/src/mesh/orders.rs
@@ -7,13 +7,9 @@
         port::{FeedPosition, MoveBatch, OrderBatch, PlatformPort, PortError},
         store_duty::{FEED_WAIT, is_reader, read_wait},
     },
-    crate::{
-        apply_gate::{ApplyError, ConfigSource},
-        config_sync::ask_moves,
-    },
+    crate::apply_gate::{ApplyError, ConfigSource},
     parking_lot::Mutex,
     std::{
-        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -27,9 +23,6 @@
 /// Time between two looks whether it falls to this node to read the store.
 const DUTY_LOOK: Duration = Duration::from_millis(100);
 
-/// Pause after a peer did not tell the moves that it knows.
-const ASK_PAUSE: Duration = Duration::from_millis(200);
-
 /// The store's steady clock as of its last answer.
 #[derive(Debug, Default)]
 pub struct StoreClock {
@@ -189,47 +182,6 @@
     position == 0 || is_reader(context) || is_watched()
 }
 
-/// Takes over the moves that peers know and this node does not, without end.
-pub async fn hear_moves(context: Arc<MeshContext>) {
-    let mut newer_moves = context.gossip.newer_moves();
-    while newer_moves.changed().await.is_ok() {
-        let newer = *newer_moves.borrow_and_update();
-        let digest = context.board.moves.lock().digest();
-        let Some(newer) = newer.filter(|newer| newer.digest > digest) else {
-            continue;
-        };
-        match ask_moves(newer.address, &context.gossip).await {
-            Ok(known) => {
-                let is_new = context.board.moves.lock().merge(known);
-                if is_new {
-                    log_heard(&context, newer.address);
-                    context.publish_moves();
-                }
-            }
-            Err(error) => {
-                warn!(%error, "a peer did not tell the moves that it knows");
-                sleep(ASK_PAUSE).await;
-            }
-        }
-    }
-}
-
-fn log_heard(context: &MeshContext, peer: SocketAddr) {
-    for view in context.board.moves.lock().open_moves() {
-        let record = view.record();
-        info!(
-            decision = "move",
-            service = view.order.service,
-            candidate = view.order.candidate,
-            revision = view.order.revision,
-            permille = view.permille(),
-            writer = record.map(|record| record.writer.as_str()),
-            %peer,
-            "moves heard of from a peer"
-        );
-    }
-}
-
 fn take_moves(context: &MeshContext, batch: MoveBatch) {
     for stored in batch.moves {
         let record = stored.record.clone();
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -8,7 +8,7 @@
             admission::TargetLoad,
             asked_time::AskedTimes,
             choice::{CallNeeds, PeerEnd, PeerLoads},
-            move_board::MoveBoard,
+            move_board::{MoveBoard, MoveView},
             move_schedule::{ScheduledStep, scheduled_step},
             port::{MoveOrder, MoveRecord, MoveState, StoredMove},
             retry_share::RetryShares,
@@ -334,3 +334,22 @@
     assert!(matches!(first, ScheduledStep::Share(permille) if permille <= 50));
     assert_eq!(last, ScheduledStep::Complete);
 }
+
+/// Guards against a move that ends elsewhere and of which a node's log says nothing: what a peer tells counts as news
+/// also when the move has ended, and once only.
+#[test]
+fn moves_told_by_a_peer_are_news_once_also_when_they_have_ended() {
+    let mut peer = MoveBoard::default();
+    peer.add_order(order(1));
+    peer.add_record(stored(MoveState::RolledBack, 0, 7));
+    let mut board = MoveBoard::default();
+    board.add_order(order(1));
+
+    let news = board.merge(peer.known());
+    let again = board.merge(peer.known());
+
+    let states: Vec<_> = news.iter().filter_map(MoveView::record).collect();
+    assert_eq!(states.len(), 1, "{news:?}");
+    assert_eq!(states[0].state, MoveState::RolledBack);
+    assert_eq!(again, Vec::new());
+}
