Count the wait for the first target from the end of the wait for the configuration

Cause: calls that had waited 0.1 s and more for the first configuration had no time left to wait for a target, which is met some ms later: 58 calls were refused 'no-target' in the first half second of a mass start.

Change: the wait begins when the target is looked for.

--- a/src/mesh/early_call.rs
+++ b/src/mesh/early_call.rs
@@ -27,7 +27,7 @@
 
 /// Looks for a target until there is one or the call has waited long enough.
 pub async fn wait_target<T>(call: &EntryCall, mut look: impl FnMut() -> Option<T>) -> Option<T> {
-    let until = call.started + call.route.objective.mul_f64(TARGET_PART);
+    let until = Instant::now() + call.route.objective.mul_f64(TARGET_PART);
     loop {
         let found = look();
         if found.is_some() || Instant::now() >= until {
