Pack configurations on their way between nodes

Version 80 came with big_config. Replayed with logs, it was in force on the four readers 0.6 s after its write, on half of the nodes 1.6 s after the first of them, and on the last 2.8 s after: peers pull a change of some hundred KB from each other over links of 10 Mbit/s, 0.4 to 0.6 s a transfer and several at once at each sender.

Tried first and dropped: nodes read a long change from the store instead of pulling it.

Change: a pull says that its asker reads packed content; the answer is then an LZ4 block, made once for all askers that have the same version. Unpacking is bounded by the longest frame. Older nodes get and send what they did.

Tests: a_long_configuration_is_packed_for_a_peer_that_reads_this (300 customers in less than a quarter of the length), packed_content_that_is_too_long_or_invalid_is_refused.

--- a/src/config_sync.rs
+++ b/src/config_sync.rs
@@ -1,6 +1,7 @@
 //! Dissemination of configuration between nodes.
 
 pub mod delta_history;
+pub mod packing;
 
 use {
     crate::{
@@ -17,6 +18,7 @@
         wire_codec::{ConnectionError, FrameError, FrameStream, SyncStep, kind_of},
     },
     delta_history::DeltaHistory,
+    packing::{PackingError, content_of},
     parking_lot::Mutex,
     rand::Rng,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
@@ -77,6 +79,9 @@
     /// The content is not JSON of the expected type.
     #[error("content cannot be decoded: {0}")]
     Json(#[from] serde_json::Error),
+    /// The content cannot be unpacked.
+    #[error(transparent)]
+    Packing(#[from] PackingError),
     /// The content is not valid.
     #[error(transparent)]
     Config(#[from] ConfigError),
@@ -149,7 +154,10 @@
     have_version: ConfigVersion,
     counters: &GossipCounters,
 ) -> Result<PullOutcome, SyncError> {
-    let ask = SyncBody::ConfigPull(ConfigPull { have_version });
+    let ask = SyncBody::ConfigPull(ConfigPull {
+        have_version,
+        reads_packed: true,
+    });
     let answer = exchange(address, node, ask, counters).await?;
     let origin = ConfigSource::Peer(answer.peer_node);
     let used = match answer.body {
@@ -182,7 +190,8 @@
     board: &Blackboard,
     origin: &ConfigSource,
 ) -> Result<PullOutcome, AnswerError> {
-    let delta: ConfigDelta = serde_json::from_slice(&body.json)?;
+    let content = content_of(&body.json, body.packed.as_ref())?;
+    let delta: ConfigDelta = serde_json::from_slice(&content)?;
     let snapshot = board.gate.current().with_delta(&delta)?;
     offer(snapshot, board, origin)
 }
@@ -192,7 +201,8 @@
     board: &Blackboard,
     origin: &ConfigSource,
 ) -> Result<PullOutcome, AnswerError> {
-    let snapshot: ConfigSnapshot = serde_json::from_slice(&body.json)?;
+    let content = content_of(&body.json, body.packed.as_ref())?;
+    let snapshot: ConfigSnapshot = serde_json::from_slice(&content)?;
     let found = snapshot.content_hash();
     if found != body.hash {
         let expected = body.hash.clone();
@@ -467,7 +477,7 @@
         let Ok(_permit) = self.pulls.try_acquire() else {
             return frames.send(self.busy(version)).await;
         };
-        let answer = self.answer_pull(pull.have_version);
+        let answer = self.answer_pull(&pull);
         match answer {
             Some(answer) => frames.send(answer).await,
             None => frames.send(self.busy(version)).await,
@@ -475,10 +485,13 @@
     }
 
     /// Records first: the task that records may not yet have seen the version that was just applied.
-    fn answer_pull(&self, have: ConfigVersion) -> Option<SyncBody> {
+    fn answer_pull(&self, pull: &ConfigPull) -> Option<SyncBody> {
         let mut history = self.history.lock();
         history.record(self.board.gate.current());
-        history.answer(have)
+        match pull.reads_packed {
+            true => history.packed_answer(pull.have_version),
+            false => history.answer(pull.have_version),
+        }
     }
 
     async fn serve_join(
--- a/src/config_sync/delta_history.rs
+++ b/src/config_sync/delta_history.rs
@@ -1,6 +1,7 @@
 //! Recent changes of the configuration, so that a peer slightly behind gets a delta.
 
 use {
+    super::packing::pack_answer,
     crate::{
         config::{ConfigDelta, ConfigSnapshot, ResourceName, VersionedResource},
         ids::ConfigVersion,
@@ -24,6 +25,8 @@
     latest: Arc<ConfigSnapshot>,
     deltas: VecDeque<ConfigDelta>,
     full: Option<ConfigFullBody>,
+    /// The last packed answer and the version that it starts from; most peers that pull a version have the same one.
+    packed: Option<(ConfigVersion, SyncBody)>,
 }
 
 impl DeltaHistory {
@@ -33,6 +36,7 @@
             latest,
             deltas: VecDeque::new(),
             full: None,
+            packed: None,
         }
     }
 
@@ -49,6 +53,7 @@
         }
         self.latest = next;
         self.full = None;
+        self.packed = None;
     }
 
     /// Returns the change from `have` to the latest version, if the history reaches back to it.
@@ -62,12 +67,25 @@
     pub fn answer(&mut self, have: ConfigVersion) -> Option<SyncBody> {
         if let Some(delta) = self.delta_since(have) {
             let json = serde_json::to_vec(&delta).ok()?;
-            return Some(SyncBody::ConfigDelta(ConfigDeltaBody { json }));
+            let body = ConfigDeltaBody { json, packed: None };
+            return Some(SyncBody::ConfigDelta(body));
         }
         let full = self.full_body()?;
         Some(SyncBody::ConfigFull(full))
     }
 
+    /// Returns the same frame with its content packed.
+    pub fn packed_answer(&mut self, have: ConfigVersion) -> Option<SyncBody> {
+        if let Some((from, answer)) = &self.packed
+            && *from == have
+        {
+            return Some(answer.clone());
+        }
+        let answer = pack_answer(self.answer(have)?);
+        self.packed = Some((have, answer.clone()));
+        Some(answer)
+    }
+
     /// Returns the whole configuration; encoded once per version.
     fn full_body(&mut self) -> Option<ConfigFullBody> {
         if self.latest.version == 0 {
@@ -77,6 +95,7 @@
             self.full = Some(ConfigFullBody {
                 json: serde_json::to_vec(self.latest.as_ref()).ok()?,
                 hash: self.latest.content_hash(),
+                packed: None,
             });
         }
         self.full.clone()
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -252,25 +252,45 @@
     /// Version that the asker has; 0 means none.
     #[prost(uint64, tag = "1")]
     pub have_version: u64,
+    /// Whether the asker reads packed content.
+    #[prost(bool, tag = "2")]
+    pub reads_packed: bool,
+}
+
+/// Compressed content.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PackedContent {
+    /// The content as an LZ4 block.
+    #[prost(bytes = "vec", tag = "1")]
+    pub block: Vec<u8>,
+    /// Length of the content in bytes.
+    #[prost(uint64, tag = "2")]
+    pub length: u64,
 }
 
 /// Change from one configuration to a later one.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ConfigDeltaBody {
-    /// `config::ConfigDelta` as JSON.
+    /// `config::ConfigDelta` as JSON; empty if it is packed.
     #[prost(bytes = "vec", tag = "1")]
     pub json: Vec<u8>,
+    /// The same packed, for an asker that reads this.
+    #[prost(message, optional, tag = "2")]
+    pub packed: Option<PackedContent>,
 }
 
 /// A whole configuration.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ConfigFullBody {
-    /// `config::ConfigSnapshot` as JSON.
+    /// `config::ConfigSnapshot` as JSON; empty if it is packed.
     #[prost(bytes = "vec", tag = "1")]
     pub json: Vec<u8>,
     /// Content hash of the snapshot.
     #[prost(string, tag = "2")]
     pub hash: String,
+    /// The same as `json` packed, for an asker that reads this.
+    #[prost(message, optional, tag = "3")]
+    pub packed: Option<PackedContent>,
 }
 
 /// The receiver serves too many pulls at the moment, or has nothing newer.
--- a/tests/sync_exchange.rs
+++ b/tests/sync_exchange.rs
@@ -14,7 +14,9 @@
         apply_gate::{ApplyGate, ConfigSource},
         blackboard::Blackboard,
         call_evidence::CallObservation,
-        config::{ConfigDelta, ServiceKey},
+        config::{
+            CallLimits, ConfigDelta, ConfigResource, CustomerSpec, ServiceKey, VersionedResource,
+        },
         config_sync::{
             MAX_PULLS, PullOutcome, SyncError, ask_evidence, ask_join, delta_history::DeltaHistory,
             pull_config,
@@ -22,7 +24,7 @@
         membership::MemberRecord,
         wire::{
             ConfigBusy, ConfigFullBody, ConfigPull, Hello, MAX_FRAME_BYTES, PROTOCOL_VERSION,
-            SyncBody,
+            PackedContent, SyncBody,
         },
         wire_codec::{FrameError, FrameStream},
     },
@@ -148,10 +150,12 @@
     let false_hash = ConfigFullBody {
         json: json.clone(),
         hash: snapshot(8).content_hash(),
+        packed: None,
     };
     let body = ConfigFullBody {
         json,
         hash: good_hash,
+        packed: None,
     };
     let liar = serve_answer(SyncBody::ConfigFull(false_hash)).await;
     let honest = serve_answer(SyncBody::ConfigFull(body)).await;
@@ -213,7 +217,7 @@
         let mut frames = FrameStream::new(stream, server.address, Duration::from_secs(30));
         frames.greet("silent").await.expect("greeted");
         frames
-            .send(SyncBody::ConfigPull(ConfigPull { have_version: 0 }))
+            .send(SyncBody::ConfigPull(ConfigPull::default()))
             .await
             .expect("open");
         silent.push(frames);
@@ -255,7 +259,7 @@
         counters.connections_failed.get() == 2
     })
     .await;
-    good.send(SyncBody::ConfigPull(ConfigPull { have_version: 0 }))
+    good.send(SyncBody::ConfigPull(ConfigPull::default()))
         .await
         .expect("open");
 
@@ -387,3 +391,67 @@
             .all(|node| node.gossip.counters().bytes_out() > 0)
     );
 }
+
+/// Guards against long configurations that fill thin links: what is alike in many resources is not sent again and
+/// again.
+#[tokio::test]
+async fn a_long_configuration_is_packed_for_a_peer_that_reads_this() {
+    let mut long = snapshot(20);
+    for number in 0..300 {
+        let resource = ConfigResource::Customer(CustomerSpec {
+            customer: format!("further-{number}"),
+            limits: CallLimits::default(),
+        });
+        let entry = VersionedResource {
+            changed_at: 20,
+            resource,
+        };
+        long.resources.insert(entry.resource.name(), entry);
+    }
+    let mut history = DeltaHistory::new(Arc::new(long.clone()));
+    let Some(SyncBody::ConfigFull(plain)) = history.answer(0) else {
+        panic!("a whole configuration expected");
+    };
+    let Some(SyncBody::ConfigFull(packed)) = history.packed_answer(0) else {
+        panic!("a whole configuration expected");
+    };
+    let board = open_board();
+    let address = serve_answer(SyncBody::ConfigFull(packed.clone())).await;
+
+    let outcome = pull_config(address, &name(), &board).await;
+
+    assert_eq!(outcome.ok(), Some(PullOutcome::Applied { version: 20 }));
+    assert_eq!(*board.gate.current(), long);
+    let block = packed.packed.expect("packed content").block;
+    assert!(block.len() * 4 < plain.json.len(), "{} bytes", block.len());
+    assert_eq!(packed.json, Vec::<u8>::new());
+}
+
+/// Guards against a peer that makes a node reserve memory without bound, or that sends what cannot be unpacked.
+#[tokio::test]
+async fn packed_content_that_is_too_long_or_invalid_is_refused() {
+    let body = |block: Vec<u8>, length| {
+        SyncBody::ConfigFull(ConfigFullBody {
+            json: Vec::new(),
+            hash: snapshot(20).content_hash(),
+            packed: Some(PackedContent { block, length }),
+        })
+    };
+    let bodies = [
+        body(vec![0; 16], u64::MAX),
+        body(vec![0xf0; 400], 4000),
+        body(Vec::new(), 100),
+    ];
+    for body in bodies {
+        let address = serve_answer(body).await;
+        let board = open_board();
+
+        let refused = pull_config(address, &name(), &board).await;
+
+        assert!(
+            matches!(refused, Err(SyncError::Answer { .. })),
+            "{refused:?}"
+        );
+        assert_eq!(board.gate.version(), 0);
+    }
+}
