Bound the calls of a candidate at each entry node, and move on proof

Cause: shares of a move followed the clock alone. What a node sent to the candidate depended only on its last knowledge of the share.

Change: - Each entry node counts its calls of a service since the order and sends the candidate at most its part of 0.6 of the operator's bound (exposureShare, exposureSlack), until the candidate receives all calls. A node that has heard no confirmation from the store for 3 s, itself or by gossip, sends it nothing. - The schedule has a short burst at 600 per mille, which the limits end. The next step needs calls that ended at the present share; the full share needs the proof of the test, or even counts late in the period. From the burst on a suspicion, or failures of several targets far above the stable rate, roll the move back. - A watcher that rejects a candidate stops its calls at all nodes by a veto that travels with the moves, also while the store refuses the write. The second watcher no longer waits before a roll-back. - Without an order the oldest version gets the calls; before, a node that had just started could send calls to all.

--- a/src/mesh/attempt.rs
+++ b/src/mesh/attempt.rs
@@ -7,6 +7,7 @@
         entry_call::EntryCall,
         hop::{BodyGate, HOP_METADATA_HEADER, HopMetadata, take_load},
         http::read_whole,
+        move_table::MoveView,
         refusal::{ExecutionStatus, MeshRefusal, WholeBody},
         target::{CallBody, MAX_ANSWER_BYTES, forwarded_headers, run_at_target},
         target_selection::TargetOutcome,
@@ -93,6 +94,7 @@
     metadata: &HopMetadata,
 ) -> Result<Response<WholeBody>, MeshRefusal> {
     let guard = AttemptGuard::new(context, &target.node, &call.route.name);
+    count_exposure(context, call, target);
     let (result, load) = if target.node == context.settings.node.id {
         let body = CallBody::Whole(call.content.clone());
         let result = run_at_target(context, metadata, &call.head, body).await;
@@ -104,6 +106,17 @@
     result
 }
 
+/// Counts an attempt for the limit of calls to the candidate, if the service has a move.
+fn count_exposure(context: &MeshContext, call: &EntryCall, target: &TargetEndpoint) {
+    let service = &call.service.service;
+    let view = context.board.moves.lock().view(service);
+    if let Some(view) = view.filter(MoveView::is_open) {
+        let is_candidate = target.version == view.order.candidate;
+        let mut exposure = context.exposure.lock();
+        exposure.record(service, view.order.revision, is_candidate);
+    }
+}
+
 fn target_outcome(result: &Result<Response<WholeBody>, MeshRefusal>) -> TargetOutcome {
     match result {
         Ok(response) if response.status().is_server_error() => TargetOutcome::Failed,
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,13 +1,14 @@
 //! State of a node that its servers and background tasks share.
 //!
-//! Lock order: `registry`, then those of `board`, then `target_tracker`, `budgets`, `splits`, `caller_deadlines`. No
+//! Lock order: `registry`, then those of `board`, then `target_tracker`, `budgets`, `exposure`, `splits`, `caller_deadlines`. No
 //! lock is held across an await.
 
 use {
     super::{
-        admission::AdmissionQueue, caller_deadline::CallerDeadlines, hop::HopClient,
-        registry::TargetRegistry, retry_share::RetryShares, settings::MeshSettings,
-        split::RouteSplits, target_selection::TargetTracker,
+        admission::AdmissionQueue, caller_deadline::CallerDeadlines,
+        exposure_limit::ExposureLimits, hop::HopClient, registry::TargetRegistry,
+        retry_share::RetryShares, settings::MeshSettings, split::RouteSplits,
+        target_selection::TargetTracker,
     },
     crate::{
         blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode,
@@ -46,6 +47,8 @@
     pub target_tracker: Mutex<TargetTracker>,
     /// Retry budget of this node for each service.
     pub budgets: Mutex<RetryShares>,
+    /// Limits of the calls that this node sends to candidate versions.
+    pub exposure: Mutex<ExposureLimits>,
     /// Traffic split of each route among its services.
     pub splits: Mutex<RouteSplits>,
     /// Deadlines that callers sent, for the time spent on earlier attempts.
@@ -65,6 +68,7 @@
     ) -> Self {
         let registry = TargetRegistry::new(settings.target_address, settings.heartbeat);
         let budgets = RetryShares::new(&settings.bounds);
+        let exposure = ExposureLimits::new(&settings.bounds);
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
         Self {
             settings,
@@ -77,6 +81,7 @@
             hops: HopClient::default(),
             target_tracker: Mutex::default(),
             budgets: Mutex::new(budgets),
+            exposure: Mutex::new(exposure),
             splits: Mutex::default(),
             caller_deadlines: Mutex::default(),
             call_log_limiter: LogRateLimiter::default(),
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -5,6 +5,7 @@
         attempt::{attempt, hop_metadata},
         context::MeshContext,
         entry_call::EntryCall,
+        exposure_limit::MoveKnowledge,
         http::{WholeBodyError, read_whole},
         refusal::{ExecutionStatus, MeshRefusal, WholeBody},
         startup_wait::{wait_for_config, wait_for_target},
@@ -45,6 +46,9 @@
 /// time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
+/// Draw above every share, which never selects the candidate of a move.
+const NO_CANDIDATE_DRAW: u32 = 1000;
+
 /// Reason logged for a hedged attempt.
 const SLOW_REASON: &str = "slow";
 
@@ -357,6 +361,29 @@
     })
 }
 
+/// Returns the number that selects the version of a call: that of the call, or one that never selects the candidate
+/// while the limit of calls to it is reached.
+fn version_draw(context: &MeshContext, call: &EntryCall) -> u32 {
+    let service = &call.service.service;
+    let Some(view) = context.board.moves.lock().view(service) else {
+        return call.draw;
+    };
+    let permille = view.permille();
+    if !view.is_open() || call.draw >= permille {
+        return call.draw;
+    }
+    let known = MoveKnowledge {
+        service,
+        order: view.order.revision,
+        permille,
+        confirmation_age: context.gossip.time_since_store_confirmation(),
+    };
+    match context.exposure.lock().allows(&known) {
+        true => call.draw,
+        false => NO_CANDIDATE_DRAW,
+    }
+}
+
 /// Selects the target of the next attempt. Once all targets have refused as full, they may be selected once more, and
 /// then accept any wait within the latency objective.
 fn choose_target(
@@ -365,11 +392,12 @@
     history: &mut AttemptHistory,
 ) -> Option<TargetEndpoint> {
     let targets = context.board.members.lock().targets_of(&call.service);
+    let draw = version_draw(context, call);
     let eligible = context
         .board
         .moves
         .lock()
-        .eligible(&call.service, targets, call.draw);
+        .eligible(&call.service, targets, draw);
     let excluded: Vec<NodeId> = match history.last_round {
         true => history.tried.clone(),
         false => history.tried.iter().chain(&history.full).cloned().collect(),
--- a/src/mesh/move_driver.rs
+++ b/src/mesh/move_driver.rs
@@ -7,8 +7,9 @@
 use {
     super::{
         context::MeshContext,
-        move_schedule::{ScheduledStep, scheduled_step},
-        move_table::MoveView,
+        move_schedule::{MoveProgress, MoveStep, next_step},
+        move_step::StepCalls,
+        move_table::{MoveView, compare_versions},
         node_rank::own_rank,
         port::{MoveRecord, MoveState, MoveWrite, PlatformPort, RowRevision, StoredMove},
         store_feed::StoreClock,
@@ -20,7 +21,7 @@
         membership::TargetEndpoint,
         move_verdict::{
             MoveVerdict, VerdictPolicy, VerdictTest,
-            counter_history::{CounterHistory, CounterReading},
+            counter_history::{CounterDifference, CounterHistory, CounterReading},
         },
         wire::EvidenceReply,
     },
@@ -49,18 +50,16 @@
 /// Time for which the second watcher waits for the first to write a step that is due.
 const SECOND_WATCHER_DELAY: Duration = Duration::from_millis(900);
 
-/// Largest share, in per mille, of a candidate that is suspected to be bad.
-const SUSPECT_PERMILLE: u32 = 150;
-
-/// Fraction of the move's period after which a candidate that is still suspected, or has no targets, is rolled back.
-const ROLLBACK_FRACTION: f64 = 0.95;
-
 /// Calls of each route on each target whose latency is ignored because of cold starts.
 const WARM_CALLS: u64 = 6;
 
 /// Longest time for which latency is ignored because of a cold start.
 const WARM_TIME: Duration = Duration::from_secs(4);
 
+/// Largest probability that a candidate at the margin of the test is accepted. A move of some seconds in a small fleet
+/// gives about 50 calls for the proof.
+const FALSE_ACCEPTANCE_PROBABILITY: f64 = 0.2;
+
 /// State of a move that this node watches.
 struct WatchedMove {
     revision: RowRevision,
@@ -69,6 +68,11 @@
     /// Last counters of each target, from which the test gets the differences.
     history: CounterHistory,
     started: Instant,
+    /// Whether this node has watched since the candidate received no calls.
+    from_start: bool,
+    step: StepCalls,
+    /// Whether the last collection brought counters of a target of the candidate.
+    has_counters: bool,
     /// Time at which a step became due that the record in the store does not show yet.
     due_since: Option<Instant>,
 }
@@ -122,7 +126,8 @@
     let differences = state
         .history
         .differences(&readings, state.started.elapsed());
-    state.test.add(&differences);
+    state.add(view, &differences);
+    state.has_counters = has_candidate_counters(view, &targets, &readings);
     let Some(now) = clock.now() else {
         return;
     };
@@ -131,32 +136,88 @@
         return;
     };
     let due_since = *state.due_since.get_or_insert_with(Instant::now);
-    if due_since.elapsed() < SECOND_WATCHER_DELAY * rank as u32 {
+    let is_rollback = record.state == MoveState::RolledBack;
+    if is_rollback {
+        veto(context, &record);
+    }
+    if !is_rollback && due_since.elapsed() < SECOND_WATCHER_DELAY * rank as u32 {
         return;
     }
     write_step(context, port, view, record).await;
 }
 
+/// Returns the parameters of the test of a candidate.
+pub fn watch_policy() -> VerdictPolicy {
+    VerdictPolicy {
+        warm_up_calls: WARM_CALLS,
+        warm_up_time: WARM_TIME,
+        false_acceptance_probability: FALSE_ACCEPTANCE_PROBABILITY,
+        ..VerdictPolicy::for_preference(MovePreference::Safety)
+    }
+}
+
 impl WatchedMove {
     fn new(view: &MoveView, targets: &[TargetEndpoint]) -> Self {
         let candidate = &view.order.candidate;
         let stable = targets.iter().map(|target| &target.version);
-        let stable = stable.filter(|version| *version != candidate).min();
+        let stable = stable.filter(|version| *version != candidate);
+        let stable = stable.min_by(|first, second| compare_versions(first, second));
         let stable = stable.cloned().unwrap_or_default();
-        let policy = VerdictPolicy {
-            warm_up_calls: WARM_CALLS,
-            warm_up_time: WARM_TIME,
-            ..VerdictPolicy::for_preference(MovePreference::Safety)
-        };
         Self {
             revision: view.order.revision,
-            test: VerdictTest::new(candidate, &stable, policy),
+            test: VerdictTest::new(candidate, &stable, watch_policy()),
             history: CounterHistory::new(WARM_CALLS, WARM_TIME),
             stable,
+            from_start: view.permille() == 0,
             started: Instant::now(),
+            step: StepCalls::new(candidate, Instant::now()),
+            has_counters: false,
             due_since: None,
         }
     }
+
+    /// Adds the calls that ended since the last collection. The proof that the candidate is good starts anew at each
+    /// new share: it does not hold at a larger load.
+    fn add(&mut self, view: &MoveView, differences: &[CounterDifference]) {
+        let permille = view.record().map_or(0, |record| record.permille);
+        if self.step.begin(permille, Instant::now()) {
+            self.test.begin_step();
+        }
+        self.test.add(differences);
+        self.step.add(differences);
+    }
+}
+
+/// Returns whether some target of the candidate reported its counters.
+fn has_candidate_counters(
+    view: &MoveView,
+    targets: &[TargetEndpoint],
+    readings: &[CounterReading],
+) -> bool {
+    let candidates = targets
+        .iter()
+        .filter(|target| target.version == view.order.candidate);
+    let mut nodes = candidates.map(|target| &target.node);
+    nodes.any(|node| readings.iter().any(|reading| reading.node == *node))
+}
+
+/// Stops the calls to a candidate here and at all peers, whether or not the store accepts the roll-back.
+fn veto(context: &MeshContext, record: &MoveRecord) {
+    let order = &record.order;
+    let mut moves = context.board.moves.lock();
+    if !moves.add_veto(&order.service, order.revision) {
+        return;
+    }
+    drop(moves);
+    warn!(
+        decision = "move",
+        service = order.service,
+        candidate = order.candidate,
+        revision = order.revision,
+        reason = record.reason,
+        "candidate rejected; its calls stop"
+    );
+    context.publish_moves();
 }
 
 /// Collects the counters of all targets of a service; nodes that do not answer in time are left out.
@@ -228,49 +289,35 @@
         let reason = "the order was seen".to_owned();
         return Some(record(MoveState::Running, 0, now, reason));
     };
-    let elapsed = now.saturating_sub(current.started);
-    let running = |permille: u32, reason: &str| {
-        let changed = current.permille != permille;
-        changed.then(|| {
-            record(
-                MoveState::Running,
-                permille,
-                current.started,
-                reason.to_owned(),
-            )
-        })
-    };
-    let ended = |state, reason: String| Some(record(state, 0, current.started, reason));
-    let has_candidate = targets
-        .iter()
-        .any(|target| target.version == view.order.candidate);
-    let overdue = elapsed >= view.order.period.mul_f64(ROLLBACK_FRACTION);
-    let suspicion = match state.test.verdict() {
-        MoveVerdict::Bad(evidence) => {
-            return ended(MoveState::RolledBack, evidence.to_string());
-        }
-        MoveVerdict::Undecided {
-            suspicious,
-            alarmed,
-            evidence,
-        } if suspicious || alarmed => Some(evidence.to_string()),
-        _ => None,
+    let progress = MoveProgress {
+        permille: current.permille,
+        elapsed: now.saturating_sub(current.started),
+        period: view.order.period,
+        step_calls: state.step.candidate_calls(),
+        service_calls: state.step.service_calls(),
+        all_calls: state.from_start.then(|| state.step.all_calls()),
+        step_age: state.step.age(Instant::now()),
+        is_failing: state.step.is_failing(),
+        has_counters: state.has_counters,
+        has_candidate: targets
+            .iter()
+            .any(|target| target.version == view.order.candidate),
     };
-    match (scheduled_step(elapsed, view.order.period), suspicion) {
-        (_, Some(evidence)) if overdue => ended(MoveState::RolledBack, evidence),
-        (_, Some(_)) => running(current.permille.min(SUSPECT_PERMILLE), "in doubt"),
-        // `ROLLBACK_FRACTION` of the period has passed, and no available target of the candidate version is known.
-        (_, None) if !has_candidate && overdue => ended(
-            MoveState::RolledBack,
-            "no target of the candidate".to_owned(),
-        ),
-        (_, None) if !has_candidate => None,
-        (ScheduledStep::Complete, None) => {
+    let started = current.started;
+    match next_step(&progress, &state.test.verdict()) {
+        MoveStep::Stay => None,
+        MoveStep::Share(permille, reason) => Some(record(
+            MoveState::Running,
+            permille,
+            started,
+            reason.to_owned(),
+        )),
+        MoveStep::Complete => {
             // The period is over without evidence that the candidate is worse than the stable version.
             let reason = format!("no objection against {}", state.stable);
-            ended(MoveState::Complete, reason)
+            Some(record(MoveState::Complete, 0, started, reason))
         }
-        (ScheduledStep::Share(permille), None) => running(permille, "scheduled"),
+        MoveStep::RollBack(reason) => Some(record(MoveState::RolledBack, 0, started, reason)),
     }
 }
 
--- a/src/mesh/move_table.rs
+++ b/src/mesh/move_table.rs
@@ -9,7 +9,10 @@
         membership::TargetEndpoint,
     },
     serde::{Deserialize, Serialize},
-    std::collections::{BTreeSet, HashMap},
+    std::{
+        cmp::Ordering,
+        collections::{BTreeMap, BTreeSet, HashMap},
+    },
 };
 
 /// Share in per mille from which a candidate may also serve the calls of an old version that has no targets.
@@ -23,6 +26,8 @@
     orders: HashMap<ServiceName, MoveOrder>,
     records: HashMap<ServiceName, StoredMove>,
     stable_versions: HashMap<ServiceName, VersionName>,
+    /// Revision of the newest order of each service whose candidate a watcher has found bad.
+    vetoes: BTreeMap<ServiceName, RowRevision>,
 }
 
 /// Orders and records that a node sends to its peers.
@@ -33,6 +38,9 @@
     pub orders: Vec<MoveOrder>,
     /// The newest record of each service.
     pub records: Vec<StoredMove>,
+    /// Revision of the newest vetoed order of each service.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub vetoes: BTreeMap<ServiceName, RowRevision>,
 }
 
 /// Latest move of a service.
@@ -42,6 +50,8 @@
     pub order: MoveOrder,
     /// Progress of the move; none if no node has started it.
     pub stored: Option<StoredMove>,
+    /// Whether a watcher has found the candidate bad.
+    pub vetoed: bool,
 }
 
 impl MoveTable {
@@ -67,7 +77,17 @@
         true
     }
 
-    /// Adds the orders and records of a peer; returns the moves that changed.
+    /// Stops the candidate of an order, also before the roll-back is in the store; returns whether this is new.
+    ///
+    /// A watcher that finds a candidate bad while the store refuses its write stops the calls of its peers in this way.
+    pub fn add_veto(&mut self, service: &str, order: RowRevision) -> bool {
+        let vetoed = self.vetoes.entry(service.to_owned()).or_default();
+        let is_new = order > *vetoed;
+        *vetoed = order.max(*vetoed);
+        is_new
+    }
+
+    /// Adds the orders, records and vetoes of a peer; returns the moves that changed.
     pub fn merge(&mut self, snapshot: MoveSnapshot) -> Vec<MoveView> {
         let mut changed = BTreeSet::new();
         for order in snapshot.orders {
@@ -82,25 +102,33 @@
                 changed.insert(service);
             }
         }
+        for (service, order) in snapshot.vetoes {
+            if self.add_veto(&service, order) {
+                changed.insert(service);
+            }
+        }
         let views = changed.iter().filter_map(|service| self.view(service));
         views.collect()
     }
 
-    /// Returns all orders and records.
+    /// Returns all orders, records and vetoes.
     pub fn snapshot(&self) -> MoveSnapshot {
         MoveSnapshot {
             orders: self.orders.values().cloned().collect(),
             records: self.records.values().cloned().collect(),
+            vetoes: self.vetoes.clone(),
         }
     }
 
-    /// Returns the sum of the revisions of all orders and records, which grows with each one added. A peer with a
+    /// Returns the sum of the revisions of all orders, records and vetoes, which grows with each one added. A peer with a
     /// larger digest has something that this node lacks; one with a smaller digest may still hold an order that this
     /// node lacks, and the comparison does not show it.
     pub fn digest(&self) -> u64 {
         let orders = self.orders.values().map(|order| order.revision);
         let records = self.records.values().map(|stored| stored.revision);
-        orders.chain(records).fold(0, u64::wrapping_add)
+        let vetoes = self.vetoes.values().copied();
+        let revisions = orders.chain(records).chain(vetoes);
+        revisions.fold(0, u64::wrapping_add)
     }
 
     /// Returns the latest move of a service; its progress is none if the stored record belongs to an earlier order.
@@ -108,9 +136,11 @@
         let order = self.orders.get(service)?.clone();
         let stored = self.records.get(service);
         let stored = stored.filter(|stored| stored.record.order.revision == order.revision);
+        let vetoed = self.vetoes.get(service) == Some(&order.revision);
         Some(MoveView {
             order,
             stored: stored.cloned(),
+            vetoed,
         })
     }
 
@@ -159,8 +189,8 @@
         }
     }
 
-    /// Returns the targets for a service without a move: only those of the stable version. If that has no targets,
-    /// all targets receive calls, and the version of the first becomes the stable one.
+    /// Returns the targets for a service without a move: only those of the stable version. If that has no targets or
+    /// is not known, the oldest version becomes the stable one.
     fn stable_only(
         &mut self,
         key: &ServiceKey,
@@ -171,18 +201,29 @@
         if targets.iter().any(is_stable) {
             return targets.iter().filter(|t| is_stable(t)).cloned().collect();
         }
-        if let Some(first) = targets.first() {
-            self.stable_versions
-                .insert(key.service.clone(), first.version.clone());
-        }
-        targets
+        // Without an order nobody has approved a second version, so the calls go to the oldest one.
+        let versions = targets.iter().map(|target| &target.version);
+        let oldest = versions.min_by(|first, second| compare_versions(first, second));
+        let Some(oldest) = oldest.cloned() else {
+            return targets;
+        };
+        let kept = targets.into_iter().filter(|t| t.version == oldest);
+        let kept = kept.collect();
+        self.stable_versions.insert(key.service.clone(), oldest);
+        kept
     }
 }
 
+/// Compares the names of two versions by age: of names with a number at the end, `v9` is older than `v10`.
+pub fn compare_versions(first: &str, second: &str) -> Ordering {
+    (first.len(), first).cmp(&(second.len(), second))
+}
+
 impl MoveView {
-    /// Returns the candidate's share of the calls in per mille.
+    /// Returns the candidate's share of the calls in per mille; none for a candidate that was found bad.
     pub fn permille(&self) -> u32 {
         match self.record().map(|record| (record.state, record.permille)) {
+            Some((MoveState::Running, _)) if self.vetoed => 0,
             Some((MoveState::Running, permille)) => permille,
             Some((MoveState::Complete, _)) => 1000,
             Some((MoveState::RolledBack, _)) | None => 0,
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -409,6 +409,7 @@
             alive.count()
         };
         context.budgets.lock().set_nodes(nodes);
+        context.exposure.lock().set_nodes(nodes);
         let config = context.board.gate.current();
         if let Some(spec) = config.backend(&context.settings.service) {
             context.target.resize(spec.connections);
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -45,6 +45,10 @@
     pub retry_window: Duration,
     /// Further retries of a service that are allowed in each window, over the whole fleet.
     pub retry_extra: f64,
+    /// Share of a service's calls that a bad version may receive during its move, over the whole fleet.
+    pub exposure_share: f64,
+    /// Calls that a bad version may receive in addition to that share, over the whole fleet.
+    pub exposure_slack: f64,
 }
 
 /// Names of the headers that callers and targets use.
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -7,7 +7,7 @@
         mesh::{
             admission::TargetLoad,
             caller_deadline::CallerDeadlines,
-            move_schedule::{ScheduledStep, scheduled_step},
+            move_schedule::{MoveProgress, MoveStep, next_step},
             move_table::{MoveTable, MoveView},
             port::{MoveOrder, MoveRecord, MoveState, StoredMove},
             retry_share::RetryShares,
@@ -15,6 +15,7 @@
             split::RouteSplits,
             target_selection::{CallNeeds, TargetOutcome, TargetTracker},
         },
+        move_verdict::{VerdictPolicy, VerdictTest},
     },
     rand::{SeedableRng, rngs::StdRng},
     std::{
@@ -229,6 +230,8 @@
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_extra: 64.0,
+        exposure_share: 0.1,
+        exposure_slack: 50.0,
     }
 }
 
@@ -337,12 +340,111 @@
 #[test]
 fn a_move_starts_small_and_completes_within_its_period() {
     let period = Duration::from_secs(14);
+    let test = VerdictTest::new("v2", "v1", VerdictPolicy::default());
+    let step_at = |permille, elapsed| {
+        let progress = MoveProgress {
+            permille,
+            elapsed,
+            period,
+            step_calls: 100,
+            service_calls: 1000,
+            all_calls: Some(5000),
+            step_age: Duration::from_secs(3),
+            is_failing: false,
+            has_counters: true,
+            has_candidate: true,
+        };
+        next_step(&progress, &test.verdict())
+    };
+
+    let first = step_at(0, Duration::ZERO);
+    let last = step_at(1000, Duration::from_secs(13));
+
+    assert!(matches!(first, MoveStep::Share(permille, _) if permille <= 50));
+    assert_eq!(last, MoveStep::Complete);
+}
+
+/// A candidate must not receive all calls before it has been shown to be good.
+#[test]
+fn the_full_share_needs_proof_that_the_candidate_is_good() {
+    let test = VerdictTest::new("v2", "v1", VerdictPolicy::default());
+    let progress = MoveProgress {
+        permille: 600,
+        elapsed: Duration::from_secs(12),
+        period: Duration::from_secs(14),
+        step_calls: 100,
+        service_calls: 1000,
+        all_calls: Some(5000),
+        step_age: Duration::from_secs(3),
+        is_failing: false,
+        has_counters: true,
+        has_candidate: true,
+    };
+
+    let step = next_step(&progress, &test.verdict());
+
+    assert_eq!(step, MoveStep::Stay);
+}
+
+/// The share of a candidate must not grow before calls at its present share have been judged.
+#[test]
+fn a_share_does_not_grow_without_evidence() {
+    let test = VerdictTest::new("v2", "v1", VerdictPolicy::default());
+    let progress = MoveProgress {
+        permille: 80,
+        elapsed: Duration::from_secs(13),
+        period: Duration::from_secs(14),
+        step_calls: 0,
+        service_calls: 1000,
+        all_calls: Some(5000),
+        step_age: Duration::from_secs(3),
+        is_failing: false,
+        has_counters: true,
+        has_candidate: true,
+    };
+    let unseen = MoveProgress {
+        service_calls: 0,
+        has_counters: false,
+        ..progress
+    };
+
+    assert_eq!(next_step(&progress, &test.verdict()), MoveStep::Stay);
+    assert_eq!(next_step(&unseen, &test.verdict()), MoveStep::Stay);
+}
+
+/// A candidate that a watcher has found bad must receive no calls while the store refuses the roll-back, also at peers
+/// that hear of it and after later steps of the same order.
+#[test]
+fn a_veto_stops_the_candidate_before_the_store_has_it() {
+    let mut watcher = MoveTable::default();
+    watcher.add_record(stored(MoveState::Running, 450, 5));
+    let mut peer = MoveTable::default();
+    peer.merge(watcher.snapshot());
+    let digest = watcher.digest();
+
+    assert!(watcher.add_veto("yardboard", 1));
+    assert!(!watcher.add_veto("yardboard", 1));
+    assert!(watcher.digest() > digest);
+    assert_eq!(peer.merge(watcher.snapshot()).len(), 1);
+    peer.add_record(stored(MoveState::Running, 750, 6));
+
+    assert_eq!(versions(&mut watcher, 0), ["v1"]);
+    assert_eq!(versions(&mut peer, 0), ["v1"]);
+}
+
+/// A node that has just started and knows no order must not send calls to a second version.
+#[test]
+fn without_an_order_only_the_oldest_version_gets_calls() {
+    let mut table = MoveTable::default();
+    let targets = vec![
+        endpoint("far", "albany", "v10"),
+        endpoint("near", "bunbury", "v9"),
+    ];
 
-    let first = scheduled_step(Duration::ZERO, period);
-    let last = scheduled_step(Duration::from_secs(13), period);
+    let eligible = table.eligible(&key("yardboard"), targets, 0);
 
-    assert!(matches!(first, ScheduledStep::Share(permille) if permille <= 50));
-    assert_eq!(last, ScheduledStep::Complete);
+    let eligible: Vec<_> = eligible.into_iter().map(|target| target.version).collect();
+    assert_eq!(eligible, ["v9"]);
 }
 
 /// A node must log a move that it learns of from a peer exactly once, even if the move has already ended.
