Keep a target that has left out of use after a restart of its node

Cause: the registry of a node is in memory only. A node that was restarted after it had acknowledged that its target leaves took the target back on the next late heartbeat.

Change: the gossiped record of a target that leaves names its start. Peers return it in the reply to a join; the restarted node rejects heartbeats of that start and announces the departure again. Until a peer has answered, for at most 1 s, the target is held back.

If all nodes lose their memory at once, the departure is still lost.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -24,7 +24,7 @@
     machine::{
         GossipMachine, GossipTables, MachineOutput, NewerMoves, NewerVersion, OutgoingPacket,
     },
-    member_events::{check_member, full_event},
+    member_events::{check_member, full_event, left_target},
     parking_lot::Mutex,
     rand::{Rng, seq::IteratorRandom},
     std::{
@@ -266,6 +266,7 @@
             config_version,
             floor: members.floor_of(joiner),
             incarnation: members.get(joiner).map_or(0, |record| record.incarnation),
+            left_target: members.get(joiner).and_then(left_target),
             members: live.map(full_event).collect(),
             ready,
         }
--- a/src/gossip/member_events.rs
+++ b/src/gossip/member_events.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         config::ServiceKey,
-        membership::{MemberRecord, MemberState, TargetRecord},
+        membership::{MemberRecord, MemberState, TargetRecord, TargetStart},
         veto_table::VetoRecord,
-        wire::{EventBody, GossipEvent, MemberEvent, TargetAnnouncement, VetoEvent},
+        wire::{
+            EventBody, GossipEvent, MemberEvent, TargetAnnouncement, TargetStartBody, VetoEvent,
+        },
         wire_codec::PacketError,
     },
     std::net::SocketAddr,
@@ -146,6 +148,12 @@
     }
 }
 
+/// Returns the target of a member if it has said that it leaves.
+pub fn left_target(record: &MemberRecord) -> Option<TargetAnnouncement> {
+    let target = record.target.as_ref()?;
+    target.left.is_some().then(|| announcement_of(target))
+}
+
 fn announcement_of(target: &TargetRecord) -> TargetAnnouncement {
     TargetAnnouncement {
         customer: target.key.customer.clone(),
@@ -155,10 +163,12 @@
         connections: target.connections,
         draining: target.draining,
         demand: target.demand,
+        left: target.left.as_ref().map(start_body_of),
     }
 }
 
-fn target_of(announcement: &TargetAnnouncement) -> TargetRecord {
+/// Returns the record of a target from its wire form.
+pub fn target_of(announcement: &TargetAnnouncement) -> TargetRecord {
     TargetRecord {
         key: ServiceKey {
             customer: announcement.customer.clone(),
@@ -169,5 +179,22 @@
         connections: announcement.connections,
         draining: announcement.draining,
         demand: announcement.demand,
+        left: announcement.left.as_ref().map(start_of),
+    }
+}
+
+/// Returns the wire form of a start of a target.
+fn start_body_of(start: &TargetStart) -> TargetStartBody {
+    TargetStartBody {
+        instance: start.instance.clone(),
+        born_ms: start.born_ms,
+    }
+}
+
+/// Returns the start of a target from its wire form.
+fn start_of(body: &TargetStartBody) -> TargetStart {
+    TargetStart {
+        instance: body.instance.clone(),
+        born_ms: body.born_ms,
     }
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -32,6 +32,16 @@
     Left,
 }
 
+/// One start of a target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetStart {
+    /// Name of the instance; some targets start again under the name that they had.
+    pub instance: String,
+    /// Time of the start in milliseconds since the Unix epoch, as the target gives it; none if it gives none.
+    pub born_ms: Option<u64>,
+}
+
 /// Properties of a target as it registered them with its node, and the call rate that the node measures.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -46,6 +56,10 @@
     pub connections: u32,
     /// Whether the target drains: it finishes its calls and is to receive no new ones.
     pub draining: bool,
+    /// Start of the target that has said that it leaves, so that its node knows it again after a restart; none while
+    /// the target stays.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub left: Option<TargetStart>,
     /// Recent calls per second that reached the target's node, at least 1; 0 means not yet measured.
     pub demand: u32,
 }
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -66,7 +66,8 @@
         gossip: GossipNode,
         metrics: NodeMetrics,
     ) -> Self {
-        let registry = TargetRegistry::new(settings.target_address, settings.heartbeat);
+        let mut registry = TargetRegistry::new(settings.target_address, settings.heartbeat);
+        registry.hold();
         let budgets = RetryShares::new(&settings.bounds);
         let exposure = ExposureLimits::new(&settings.bounds);
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
@@ -108,6 +109,13 @@
         self.gossip.announce_target(record);
     }
 
+    /// Ends the hold of the target after a start of the node.
+    pub fn release_target(&self) {
+        if self.registry.lock().release() {
+            self.publish_target();
+        }
+    }
+
     /// Gossips the digest of the moves that this node has; call it after a change of `board.moves`.
     pub fn publish_moves(&self) {
         let digest = self.board.moves.lock().digest();
--- a/src/mesh/move_driver.rs
+++ b/src/mesh/move_driver.rs
@@ -20,7 +20,7 @@
         ids::{ServiceName, VersionName},
         membership::TargetEndpoint,
         move_verdict::{
-            MoveVerdict, VerdictPolicy, VerdictTest,
+            VerdictPolicy, VerdictTest,
             counter_history::{CounterDifference, CounterHistory, CounterReading},
         },
         wire::EvidenceReply,
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -46,6 +46,9 @@
 /// Time between two checks of the target beside this node and of the membership.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// Longest time after the start for which the target is held back until a peer has answered a join.
+const MAX_TARGET_HOLD: Duration = Duration::from_secs(1);
+
 /// Fraction of the grace period for which a stopping node still accepts calls. Within this time, callers notice by
 /// failed readiness checks that the node leaves.
 const SERVE_FRACTION: f64 = 0.42;
@@ -391,8 +394,12 @@
 
 /// Withdraws a target whose heartbeats have stopped, and applies changes of the number of nodes and connections.
 async fn watch_target(context: Arc<MeshContext>) {
+    let started = Instant::now();
     loop {
         sleep(CHECK_PERIOD).await;
+        if started.elapsed() >= MAX_TARGET_HOLD {
+            context.release_target();
+        }
         if context.registry.lock().expire(Instant::now()) {
             info!(
                 decision = "registry",
--- a/src/mesh/peer_discovery.rs
+++ b/src/mesh/peer_discovery.rs
@@ -9,7 +9,10 @@
         port::{PeerRow, PlatformPort, PortError},
         store_reader::is_reader,
     },
-    crate::{config_sync::request_join, ids::NodeId, membership::MemberState},
+    crate::{
+        config_sync::request_join, gossip::member_events::target_of, ids::NodeId,
+        membership::MemberState, wire::JoinReply,
+    },
     rand::seq::IteratorRandom,
     std::{
         collections::HashMap,
@@ -191,12 +194,30 @@
     }
 }
 
+/// Takes over which target has left before this node was restarted, and ends the hold of the target.
+fn restore_left_target(context: &MeshContext, reply: &JoinReply) {
+    if let Some(left) = &reply.left_target {
+        let record = target_of(left);
+        info!(
+            decision = "registry",
+            left = ?record.left,
+            outcome = "left before the restart",
+            "target has left according to a peer"
+        );
+        if context.registry.lock().restore_left(record) {
+            context.publish_target();
+        }
+    }
+    context.release_target();
+}
+
 /// Joins a node and takes over the members that it returns; returns whether the node is that of the row. A newer
 /// configuration is pulled later by gossip.
 async fn join(context: &MeshContext, row: &PeerRow) -> bool {
     match request_join(row.peer_address, &context.gossip).await {
         Ok(answer) => {
             let members = context.gossip.apply_join_reply(&answer.reply);
+            restore_left_target(context, &answer.reply);
             // Also logged if another node than that of the row answered at the address; `peer` is the one that
             // answered.
             info!(peer = answer.node, members, "joined");
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -4,7 +4,11 @@
 //! newer than all reports accepted before.
 
 use {
-    crate::{config::ServiceKey, ids::VersionName, membership::TargetRecord},
+    crate::{
+        config::ServiceKey,
+        ids::VersionName,
+        membership::{TargetRecord, TargetStart},
+    },
     derive_more::Display,
     std::{
         collections::VecDeque,
@@ -77,6 +81,11 @@
     current: Option<TargetReport>,
     last_report_at: Option<Instant>,
     past_instances: VecDeque<PastInstance>,
+    /// Target that has left according to peers, which this node announced before it was restarted. It stays announced
+    /// so that it is known after a further restart.
+    left_before: Option<TargetRecord>,
+    /// Whether the target is held back until peers have said which target left before this node was restarted.
+    held: bool,
 }
 
 impl TargetRegistry {
@@ -88,7 +97,37 @@
             current: None,
             last_report_at: None,
             past_instances: VecDeque::new(),
+            left_before: None,
+            held: false,
+        }
+    }
+
+    /// Holds the target back until `release`: a late heartbeat may come from a target whose departure the node
+    /// acknowledged before it was restarted.
+    pub fn hold(&mut self) {
+        self.held = true;
+    }
+
+    /// Ends the hold; returns whether there was one.
+    pub fn release(&mut self) -> bool {
+        std::mem::take(&mut self.held)
+    }
+
+    /// Takes over from a peer which target has left; returns whether it is the current one.
+    pub fn restore_left(&mut self, record: TargetRecord) -> bool {
+        let Some(left) = record.left.clone() else {
+            return false;
+        };
+        let is_current = self.current.as_ref().is_some_and(|current| {
+            current.instance == left.instance && current.born_ms <= left.born_ms
+        });
+        if is_current {
+            self.current = None;
+            self.last_report_at = None;
         }
+        self.add_past_instance(left.instance, left.born_ms);
+        self.left_before = Some(record);
+        is_current
     }
 
     /// Accepts a report if it is newer than those before.
@@ -135,14 +174,16 @@
         expired
     }
 
-    /// Returns the last accepted report; none if the target has not reported or has expired.
+    /// Returns the last accepted report; none if the target has not reported, has expired or is held back.
     pub fn current(&self) -> Option<&TargetReport> {
-        self.current.as_ref()
+        self.current.as_ref().filter(|_| !self.held)
     }
 
     /// Returns the record of the target that is sent to other nodes.
     pub fn record(&self, connections: u32) -> Option<TargetRecord> {
-        let current = self.current.as_ref()?;
+        let Some(current) = self.current() else {
+            return self.left_before.clone();
+        };
         Some(TargetRecord {
             key: current.service.clone(),
             version: current.version.clone(),
@@ -150,6 +191,10 @@
             connections,
             draining: current.draining,
             demand: 0,
+            left: current.draining.then(|| TargetStart {
+                instance: current.instance.clone(),
+                born_ms: current.born_ms,
+            }),
         })
     }
 
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -310,6 +310,7 @@
             connections: handle.announced.connections,
             draining: handle.announced.draining,
             demand: self.demand(Instant::now()),
+            left: None,
         })
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -173,6 +173,20 @@
     /// Recent rate of calls that arrived at the target's node, per second; 0 if not yet measured.
     #[prost(uint32, tag = "7")]
     pub demand: u32,
+    /// Start of the target that has said that it leaves; absent while the target stays.
+    #[prost(message, optional, tag = "8")]
+    pub left: Option<TargetStartBody>,
+}
+
+/// One start of a target.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TargetStartBody {
+    /// Name of the instance.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Time of the start in milliseconds since the Unix epoch; absent if the target does not give it.
+    #[prost(uint64, optional, tag = "2")]
+    pub born_ms: Option<u64>,
 }
 
 /// Veto: the candidate version of a move must receive no calls.
@@ -337,6 +351,10 @@
     /// Whether the responding node knows its own floor and has applied a configuration at or above it.
     #[prost(bool, tag = "5")]
     pub ready: bool,
+    /// Target of the requester that has said that it leaves, as last announced by the requester. After a restart the
+    /// requester must not use it again.
+    #[prost(message, optional, tag = "6")]
+    pub left_target: Option<TargetAnnouncement>,
 }
 
 /// Requests the outcome counters of a service that rollouts are judged by.
--- a/tests/call_faults.rs
+++ b/tests/call_faults.rs
@@ -88,6 +88,7 @@
             connections: 8,
             draining: false,
             demand: 0,
+            left: None,
         }),
         ..base.record(1)
     }
--- a/tests/differential_rules.rs
+++ b/tests/differential_rules.rs
@@ -107,6 +107,7 @@
         connections: 8,
         draining: service > 200,
         demand: 1,
+        left: None,
     });
     MemberRecord {
         node: format!("node-{}", node % 5),
--- a/tests/gossip_network.rs
+++ b/tests/gossip_network.rs
@@ -42,6 +42,7 @@
         connections: 130,
         draining,
         demand,
+        left: None,
     }
 }
 
--- a/tests/join_floor.rs
+++ b/tests/join_floor.rs
@@ -30,6 +30,7 @@
             incarnation: 0,
             members: Vec::new(),
             ready,
+            left_target: None,
         },
     }
 }
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -127,3 +127,52 @@
 
     assert!(registry.current().is_none());
 }
+
+/// A target whose departure was acknowledged must not be used again after a restart of its node, when a late heartbeat
+/// arrives; a later start of it must.
+#[test]
+fn a_target_that_left_stays_out_after_a_restart_of_its_node() {
+    let now = Instant::now();
+    let mut before = registry();
+    before.apply(report("a", 1, 4), now);
+    before.mark_leaving("a");
+    let announced = before.record(8).expect("announced while it leaves");
+    let mut restarted = registry();
+    restarted.hold();
+    restarted.apply(report("a", 1, 5), now);
+
+    assert!(
+        restarted.current().is_none(),
+        "used before peers were heard"
+    );
+    restarted.restore_left(announced.clone());
+    restarted.release();
+    let late = restarted.apply(report("a", 1, 6), now);
+
+    assert_eq!(late, ReportOutcome::Stale);
+    assert!(restarted.current().is_none());
+    assert_eq!(
+        restarted.record(8),
+        Some(announced),
+        "lost at a further restart"
+    );
+    assert_eq!(
+        restarted.apply(report("a", 2, 1), now),
+        ReportOutcome::Taken
+    );
+    assert!(restarted.current().is_some());
+}
+
+/// A target that goes on running while its node is restarted must be used again as soon as a peer has answered.
+#[test]
+fn a_target_that_stays_is_used_after_a_restart_of_its_node() {
+    let now = Instant::now();
+    let mut restarted = registry();
+    restarted.hold();
+    restarted.apply(report("a", 1, 5), now);
+
+    assert!(restarted.release());
+
+    assert!(restarted.current().is_some());
+    assert_eq!(restarted.record(8).expect("announced").left, None);
+}
--- a/tests/move_controller.rs
+++ b/tests/move_controller.rs
@@ -102,6 +102,7 @@
             connections: 130,
             draining: false,
             demand: 0,
+            left: None,
         }),
         applied_version: 0,
     }
