--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -15,6 +15,7 @@
 pub mod entry_call;
 pub mod exchange_trace;
 pub mod exposure_limit;
+pub mod held_bytes;
 pub mod hop;
 pub mod http;
 pub mod move_driver;
--- a/src/mesh/attempt.rs
+++ b/src/mesh/attempt.rs
@@ -247,7 +247,7 @@
         return (Err(refusal), load);
     }
     let (head, body) = response.into_parts();
-    let result = match read_whole(body, MAX_ANSWER_BYTES).await {
+    let result = match read_whole(body, MAX_ANSWER_BYTES, &context.held_bytes).await {
         Ok(content) => Ok(Response::from_parts(head, Full::new(content))),
         Err(_) => Err(MeshRefusal::unknown(
             StatusCode::BAD_GATEWAY,
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -6,9 +6,9 @@
 use {
     super::{
         admission::AdmissionQueue, caller_deadline::CallerDeadlines,
-        exposure_limit::ExposureLimits, hop::HopClient, registry::TargetRegistry,
-        retry_share::RetryShares, settings::MeshSettings, split::RouteSplits,
-        target_selection::TargetTracker,
+        exposure_limit::ExposureLimits, held_bytes::HeldBytes, hop::HopClient,
+        registry::TargetRegistry, retry_share::RetryShares, settings::MeshSettings,
+        split::RouteSplits, target_selection::TargetTracker,
     },
     crate::{
         blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode,
@@ -41,6 +41,8 @@
     pub queue: AdmissionQueue,
     /// HTTP client for that target.
     pub target: TargetClient,
+    /// Bytes of all bodies that the node holds.
+    pub held_bytes: HeldBytes,
     /// HTTP client for other nodes.
     pub hops: HopClient,
     /// Load and failures of all targets.
@@ -70,6 +72,7 @@
         registry.hold();
         let budgets = RetryShares::new(&settings.bounds);
         let exposure = ExposureLimits::new(&settings.bounds);
+        let held_bytes = HeldBytes::new(settings.body_memory);
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
         Self {
             settings,
@@ -79,6 +82,7 @@
             registry: Mutex::new(registry),
             queue: AdmissionQueue::default(),
             target,
+            held_bytes,
             hops: HopClient::default(),
             target_tracker: Mutex::default(),
             budgets: Mutex::new(budgets),
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -171,7 +171,7 @@
     });
     let config_version = config.version;
     let (head, body) = request.into_parts();
-    let content = read_body(&head, body, limit, deadline).await?;
+    let content = read_body(context, &head, body, limit, deadline).await?;
     let mut rng = rand::rng();
     let draw = rng.random_range(0..1000);
     let service = context
@@ -215,6 +215,7 @@
 }
 
 async fn read_body(
+    context: &MeshContext,
     head: &Parts,
     body: Incoming,
     limit: usize,
@@ -227,9 +228,17 @@
     if content_length.is_some_and(|length| length > limit) {
         return Err(too_long());
     }
-    match timeout_at(deadline.into(), read_whole(body, limit)).await {
+    match timeout_at(
+        deadline.into(),
+        read_whole(body, limit, &context.held_bytes),
+    )
+    .await
+    {
         Ok(Ok(content)) => Ok(content),
         Ok(Err(WholeBodyError::OverLimit { .. })) => Err(too_long()),
+        Ok(Err(WholeBodyError::NoMemory)) => {
+            Err(MeshRefusal::not_run("body-memory", NOT_READY_RETRY_AFTER))
+        }
         Ok(Err(WholeBodyError::Broken(_))) => Err(MeshRefusal::rejected(
             StatusCode::BAD_REQUEST,
             "broken-body",
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -3,10 +3,12 @@
 use {
     super::{
         client_io::{ClientIo, ReadAhead},
+        held_bytes::HeldBytes,
         refusal::WholeBody,
     },
     bytes::{Bytes, BytesMut},
     http::{Request, Response},
+    http_body::Body,
     http_body_util::BodyExt,
     hyper::{
         body::Incoming,
@@ -51,10 +53,23 @@
         /// Longest body allowed, in bytes.
         limit: usize,
     },
+    /// The bodies that the node holds already take all the memory set aside for them.
+    #[error("read body: the node holds too many bytes of other bodies")]
+    NoMemory,
 }
 
-/// Reads a body of at most `limit` bytes.
-pub async fn read_whole(mut body: Incoming, limit: usize) -> Result<Bytes, WholeBodyError> {
+/// Reads a body of at most `limit` bytes, as long as the node may hold them.
+pub async fn read_whole<B>(
+    body: B,
+    limit: usize,
+    bytes: &HeldBytes,
+) -> Result<Bytes, WholeBodyError>
+where
+    B: Body<Data = Bytes, Error = hyper::Error>,
+{
+    let mut body = pin!(body);
+    let limit = limit.min(bytes.longest_body());
+    let mut share = bytes.begin();
     let mut first: Option<Bytes> = None;
     let mut rest = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -65,6 +80,9 @@
         if length + data.len() > limit {
             return Err(WholeBodyError::OverLimit { limit });
         }
+        if !share.grow_to(length + data.len()) {
+            return Err(WholeBodyError::NoMemory);
+        }
         match &first {
             // Most bodies arrive in one frame, which needs no copy.
             None if rest.is_empty() => first = Some(data),
@@ -75,7 +93,7 @@
             }
         }
     }
-    Ok(first.unwrap_or_else(|| rest.freeze()))
+    Ok(share.hold(first.unwrap_or_else(|| rest.freeze())))
 }
 
 /// Stop signal of a server and its open connections.
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -325,7 +325,7 @@
     request: Request<Incoming>,
 ) -> Response<WholeBody> {
     let (head, body) = request.into_parts();
-    let content = match read_whole(body, MAX_HEARTBEAT_BYTES).await {
+    let content = match read_whole(body, MAX_HEARTBEAT_BYTES, &context.held_bytes).await {
         Ok(content) => content,
         Err(cause) => {
             info!(step = "read heartbeat", error = %cause, "heartbeat rejected with status 400");
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -28,6 +28,8 @@
     pub service: ServiceKey,
     /// Time between two heartbeats of the target.
     pub heartbeat: Duration,
+    /// Memory that the bodies of requests and responses may take together, in bytes.
+    pub body_memory: usize,
     /// Limits that the operator sets for the whole fleet.
     pub bounds: MeshBounds,
     /// Names of the headers that callers and targets use.
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -6,7 +6,7 @@
         context::MeshContext,
         exchange_trace::ExchangeTrace,
         hop::{EXECUTION_HEADER, HOP_METADATA_HEADER, HopMetadata, LOAD_HEADER, set_load},
-        http::read_whole,
+        http::{WholeBodyError, read_whole},
         refusal::{MeshRefusal, WholeBody},
         registry::InstanceId,
     },
@@ -22,12 +22,16 @@
         request::Parts,
     },
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
+    hyper::{body::Incoming, ext::on_informational},
     std::{
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::time::timeout_at,
+    tokio_util::sync::CancellationToken,
     tracing::{info, warn},
 };
 
@@ -37,6 +41,9 @@
 /// Longest request body that is accepted, in bytes; the configuration may set a lower limit.
 pub const MAX_REQUEST_BYTES: usize = 64 * 1024 * 1024;
 
+/// Interim responses (status 1xx) of the target to one request after which the exchange is abandoned.
+const MAX_INTERIM_ANSWERS: usize = 8;
+
 /// `Retry-After` when the target is missing, leaving or not reachable.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -97,13 +104,14 @@
     let instance = current_instance(context, metadata)?;
     let content = match body {
         CallBody::Whole(content) => content,
-        CallBody::Streaming(body) => {
-            timeout_at(deadline.into(), read_whole(body, MAX_REQUEST_BYTES))
-                .await
-                .ok()
-                .and_then(Result::ok)
-                .ok_or_else(|| MeshRefusal::not_run("body-missing", UNREACHABLE_RETRY_AFTER))?
-        }
+        CallBody::Streaming(body) => timeout_at(
+            deadline.into(),
+            read_whole(body, MAX_REQUEST_BYTES, &context.held_bytes),
+        )
+        .await
+        .ok()
+        .and_then(Result::ok)
+        .ok_or_else(|| MeshRefusal::not_run("body-missing", UNREACHABLE_RETRY_AFTER))?,
     };
     let request = target_request(context, metadata, head, content, &instance, deadline);
     let started = Instant::now();
@@ -227,7 +235,16 @@
         let body = Full::new(content);
         body.map_err(|never| match never {}).boxed_unsync()
     });
-    let sent = timeout_at(deadline.into(), context.target.send_tracked(request)).await;
+    let mut request = request;
+    let flooded = watch_interim(&mut request);
+    let sent = timeout_at(deadline.into(), context.target.send_tracked(request));
+    let sent = tokio::select! {
+        sent = sent => sent,
+        () = flooded.cancelled() => {
+            trace.end(true);
+            return Err(MeshRefusal::unknown(StatusCode::BAD_GATEWAY, "interim-answers"));
+        }
+    };
     let answer = match sent {
         Err(_) => return Err(record_timeout(trace)),
         Ok(Err(error)) => return Err(record_exchange_error(trace, &error)),
@@ -251,6 +268,18 @@
     }
 }
 
+/// Counts the interim responses (status 1xx) to a request; the token is cancelled when there are too many.
+fn watch_interim(request: &mut Request<impl Sized>) -> CancellationToken {
+    let flooded = CancellationToken::new();
+    let (cancel, count) = (flooded.clone(), AtomicUsize::new(0));
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
+            cancel.cancel();
+        }
+    });
+    flooded
+}
+
 fn record_timeout(trace: ExchangeTrace) -> MeshRefusal {
     trace.end(true);
     MeshRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline")
@@ -311,9 +340,14 @@
         connection.poison();
         return Err(ResponseError::Invalid("encoded-answer"));
     }
-    let content = match timeout_at(deadline.into(), read_whole(body, MAX_ANSWER_BYTES)).await {
+    let content = read_whole(body, MAX_ANSWER_BYTES, &context.held_bytes);
+    let content = match timeout_at(deadline.into(), content).await {
         Err(_) => return Err(ResponseError::TimedOut),
-        Ok(Err(_)) => return Err(ResponseError::Invalid("broken-answer")),
+        Ok(Err(WholeBodyError::Broken(_))) => return Err(ResponseError::Invalid("broken-answer")),
+        Ok(Err(WholeBodyError::OverLimit { .. } | WholeBodyError::NoMemory)) => {
+            connection.poison();
+            return Err(ResponseError::Invalid("answer-too-long"));
+        }
         Ok(Ok(content)) => content,
     };
     strip_hop_by_hop_headers(&mut head.headers);
