Refuse a waiting call at its latest start instead of its deadline

Cause: a call that waited for a slot was looked at only when a slot got free. While a target held all its slots, the call waited until the deadline, where its entry node answers 504 with unknown outcome although it never ran.

Change: a waiting call is refused as full, so as not run, once too little time is left for it.

Result: the test fails on the code before ("before the deadline: Elapsed") and passes now.

--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -11,7 +11,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::sync::oneshot,
+    tokio::{sync::oneshot, time::timeout_at},
 };
 
 /// Least weight of the newest sample in an average of service times.
@@ -240,6 +240,7 @@
         Ok(Admission::Waiting(QueuedCall {
             state: self.state.clone(),
             key,
+            latest_start,
             admitted,
             resolved: false,
         }))
@@ -369,25 +370,26 @@
 struct QueuedCall {
     state: Arc<Mutex<QueueState>>,
     key: WaiterKey,
+    latest_start: Instant,
     admitted: oneshot::Receiver<Instant>,
     resolved: bool,
 }
 
 impl QueuedCall {
+    /// Waits for a slot until the latest start. The caller then gets a refusal that says truthfully that the call has
+    /// not run, also if the running calls hold their slots for longer.
     async fn wait(mut self) -> Result<SlotPermit, AdmissionRefusal> {
-        match (&mut self.admitted).await {
-            Ok(started) => {
-                self.resolved = true;
-                Ok(SlotPermit {
-                    state: self.state.clone(),
-                    started,
-                })
-            }
-            Err(_) => {
-                self.resolved = true;
-                Err(AdmissionRefusal::Full)
-            }
-        }
+        let granted = match timeout_at(self.latest_start.into(), &mut self.admitted).await {
+            Ok(granted) => granted,
+            // Dropping the call removes it from the queue, or gives back a slot granted meanwhile.
+            Err(_) => return Err(AdmissionRefusal::Full),
+        };
+        self.resolved = true;
+        let started = granted.map_err(|_| AdmissionRefusal::Full)?;
+        Ok(SlotPermit {
+            state: self.state.clone(),
+            started,
+        })
     }
 }
 
--- a/tests/mesh_admission.rs
+++ b/tests/mesh_admission.rs
@@ -214,3 +214,24 @@
         "{after_release:?}"
     );
 }
+
+/// A waiting call whose target holds all its slots must be refused as not run before its deadline: at the deadline its
+/// entry node could no longer tell whether it has run.
+#[tokio::test]
+async fn a_waiting_call_is_refused_before_its_deadline_if_no_slot_gets_free() {
+    let queue = queue_with_slots(1);
+    let _stuck = queue.acquire(lenient_request()).await.expect("slot");
+    let deadline = Instant::now() + Duration::from_millis(600);
+    let waiting = SlotRequest {
+        deadline,
+        ..request(Duration::from_millis(500), 1, Duration::from_secs(10))
+    };
+
+    let ended = tokio::time::timeout_at(deadline.into(), queue.acquire(waiting)).await;
+
+    assert_eq!(
+        ended.expect("before the deadline").err(),
+        Some(AdmissionRefusal::Full)
+    );
+    assert_eq!((queue.load().running, queue.load().waiting), (1, 0));
+}
