--- a/src/mesh/peer_discovery.rs
+++ b/src/mesh/peer_discovery.rs
@@ -82,6 +82,7 @@
             written = written || log_failure((port.write_peer)(own.clone()).await).is_some();
             if let Some(rows) = log_failure((port.list_peers)().await) {
                 search.rows = rows;
+                release_if_alone(&context, &search.rows);
             }
             list_at = Instant::now() + list_period(&context, written);
         }
@@ -91,6 +92,14 @@
     }
 }
 
+/// Ends the hold of the target if there is no other node that could know of its departure.
+fn release_if_alone(context: &MeshContext, rows: &[PeerRow]) {
+    let own = &context.settings.node.id;
+    if rows.iter().all(|row| &row.node == own) {
+        context.release_target();
+    }
+}
+
 fn list_period(context: &MeshContext, written: bool) -> Duration {
     let peers = context.board.members.lock().len().saturating_sub(1) as u32;
     let period = match (written, peers) {
