Complete moves a little sooner after the full share, and test failing candidates at it

Change: the burst keeps 0.12, the full share lasts 0.08 of the period at least. Tests of failures at the full share and of failures of a single target; the progress of a move in the tests comes from one function.

--- a/src/mesh/move_schedule.rs
+++ b/src/mesh/move_schedule.rs
@@ -41,9 +41,12 @@
 /// what a bad version receives of them.
 const FEW_CALLS: u64 = 150;
 
-/// Part of the period for which the burst and the full share last at least, so that slow calls of the candidate, or
-/// calls in progress at the old version, can end before the next step.
-const SETTLE_FRACTION: f64 = 0.12;
+/// Part of the period for which the burst lasts at least, so that slow calls of the candidate can end and be judged.
+const BURST_FRACTION: f64 = 0.12;
+
+/// Part of the period for which the candidate receives all calls before it is complete, so that calls in progress at
+/// the old version can end.
+const FULL_FRACTION: f64 = 0.08;
 
 /// Fraction of the period at which a candidate that is not suspected to be bad is complete.
 const COMPLETE_FRACTION: f64 = 0.8;
@@ -138,8 +141,8 @@
             }
             MoveVerdict::Bad(_) => false,
         };
-    let is_settled = progress.step_age >= progress.period.mul_f64(SETTLE_FRACTION);
     if progress.permille >= FULL_PERMILLE {
+        let is_settled = progress.lasts_for(FULL_FRACTION);
         return match is_settled && fraction >= COMPLETE_FRACTION {
             true => MoveStep::Complete,
             false => MoveStep::Stay,
@@ -152,7 +155,9 @@
         .iter()
         .find(|(_, permille)| *permille > progress.permille);
     match next {
-        Some((_, FULL_PERMILLE)) if !is_good || !is_settled => MoveStep::Stay,
+        Some((_, FULL_PERMILLE)) if !is_good || !progress.lasts_for(BURST_FRACTION) => {
+            MoveStep::Stay
+        }
         Some((begins, permille)) if fraction >= *begins && progress.is_supported() => {
             share_step(progress, *permille, "scheduled")
         }
@@ -161,6 +166,11 @@
 }
 
 impl MoveProgress {
+    /// Returns whether the present share has lasted for a part of the period.
+    fn lasts_for(&self, fraction: f64) -> bool {
+        self.step_age >= self.period.mul_f64(fraction)
+    }
+
     /// Returns whether the service has so few calls that a bad version stays within the operator's bound.
     fn has_few_calls(&self) -> bool {
         self.all_calls.is_some_and(|calls| calls <= FEW_CALLS)
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -8,6 +8,7 @@
             admission::TargetLoad,
             caller_deadline::CallerDeadlines,
             move_schedule::{MoveProgress, MoveStep, next_step},
+            move_step::StepCalls,
             move_table::{MoveTable, MoveView},
             port::{MoveOrder, MoveRecord, MoveState, StoredMove},
             retry_share::RetryShares,
@@ -15,7 +16,7 @@
             split::RouteSplits,
             target_selection::{CallNeeds, TargetOutcome, TargetTracker},
         },
-        move_verdict::{VerdictPolicy, VerdictTest},
+        move_verdict::{VerdictPolicy, VerdictTest, counter_history::CounterDifference},
     },
     rand::{SeedableRng, rngs::StdRng},
     std::{
@@ -336,29 +337,33 @@
     );
 }
 
+/// Returns the progress of a move with calls enough for the next step.
+fn progress(permille: u32, elapsed: Duration) -> MoveProgress {
+    MoveProgress {
+        permille,
+        elapsed,
+        period: Duration::from_secs(14),
+        step_calls: 100,
+        service_calls: 1000,
+        all_calls: Some(5000),
+        step_age: Duration::from_secs(3),
+        is_failing: false,
+        has_counters: true,
+        has_candidate: true,
+    }
+}
+
+/// Returns the next step of a move whose test has seen no calls yet.
+fn untested_step(progress: &MoveProgress) -> MoveStep {
+    let test = VerdictTest::new("v2", "v1", VerdictPolicy::default());
+    next_step(progress, &test.verdict())
+}
+
 /// A move must complete within its period, and start with a small share.
 #[test]
 fn a_move_starts_small_and_completes_within_its_period() {
-    let period = Duration::from_secs(14);
-    let test = VerdictTest::new("v2", "v1", VerdictPolicy::default());
-    let step_at = |permille, elapsed| {
-        let progress = MoveProgress {
-            permille,
-            elapsed,
-            period,
-            step_calls: 100,
-            service_calls: 1000,
-            all_calls: Some(5000),
-            step_age: Duration::from_secs(3),
-            is_failing: false,
-            has_counters: true,
-            has_candidate: true,
-        };
-        next_step(&progress, &test.verdict())
-    };
-
-    let first = step_at(0, Duration::ZERO);
-    let last = step_at(1000, Duration::from_secs(13));
+    let first = untested_step(&progress(0, Duration::ZERO));
+    let last = untested_step(&progress(1000, Duration::from_secs(13)));
 
     assert!(matches!(first, MoveStep::Share(permille, _) if permille <= 50));
     assert_eq!(last, MoveStep::Complete);
@@ -367,21 +372,7 @@
 /// A candidate must not receive all calls before it has been shown to be good.
 #[test]
 fn the_full_share_needs_proof_that_the_candidate_is_good() {
-    let test = VerdictTest::new("v2", "v1", VerdictPolicy::default());
-    let progress = MoveProgress {
-        permille: 600,
-        elapsed: Duration::from_secs(12),
-        period: Duration::from_secs(14),
-        step_calls: 100,
-        service_calls: 1000,
-        all_calls: Some(5000),
-        step_age: Duration::from_secs(3),
-        is_failing: false,
-        has_counters: true,
-        has_candidate: true,
-    };
-
-    let step = next_step(&progress, &test.verdict());
+    let step = untested_step(&progress(600, Duration::from_secs(12)));
 
     assert_eq!(step, MoveStep::Stay);
 }
@@ -389,27 +380,67 @@
 /// The share of a candidate must not grow before calls at its present share have been judged.
 #[test]
 fn a_share_does_not_grow_without_evidence() {
-    let test = VerdictTest::new("v2", "v1", VerdictPolicy::default());
-    let progress = MoveProgress {
-        permille: 80,
-        elapsed: Duration::from_secs(13),
-        period: Duration::from_secs(14),
+    let unjudged = MoveProgress {
         step_calls: 0,
-        service_calls: 1000,
-        all_calls: Some(5000),
-        step_age: Duration::from_secs(3),
-        is_failing: false,
-        has_counters: true,
-        has_candidate: true,
+        ..progress(80, Duration::from_secs(13))
     };
     let unseen = MoveProgress {
         service_calls: 0,
         has_counters: false,
-        ..progress
+        ..unjudged
+    };
+
+    assert_eq!(untested_step(&unjudged), MoveStep::Stay);
+    assert_eq!(untested_step(&unseen), MoveStep::Stay);
+}
+
+/// A candidate that fails far more often than the stable version did must be rolled back at a large share, where there
+/// are no calls of the stable version to compare with.
+#[test]
+fn a_candidate_that_fails_under_all_calls_is_rolled_back() {
+    let failing = MoveProgress {
+        is_failing: true,
+        ..progress(1000, Duration::from_secs(11))
     };
 
-    assert_eq!(next_step(&progress, &test.verdict()), MoveStep::Stay);
-    assert_eq!(next_step(&unseen, &test.verdict()), MoveStep::Stay);
+    assert!(matches!(untested_step(&failing), MoveStep::RollBack(_)));
+}
+
+/// Failures of one crashed target among several must not count against the version; the same number spread over the
+/// targets must.
+#[test]
+fn failures_of_one_target_do_not_show_a_bad_version() {
+    let counts = |node: &str, version: &str, calls, failures| CounterDifference {
+        node: node.to_owned(),
+        version: version.to_owned(),
+        route: "jobs".to_owned(),
+        calls,
+        failures,
+        buckets: Vec::new(),
+        warm: true,
+    };
+    let stable = counts("old", "v1", 1000, 5);
+    let step = |candidates: &[CounterDifference]| {
+        let mut step = StepCalls::new("v2", Instant::now());
+        step.add(std::slice::from_ref(&stable));
+        step.begin(1000, Instant::now());
+        step.add(candidates);
+        step.is_failing()
+    };
+
+    let crashed = [
+        counts("a", "v2", 20, 10),
+        counts("b", "v2", 20, 0),
+        counts("c", "v2", 20, 0),
+    ];
+    let bad = [
+        counts("a", "v2", 20, 4),
+        counts("b", "v2", 20, 3),
+        counts("c", "v2", 20, 3),
+    ];
+
+    assert!(!step(&crashed));
+    assert!(step(&bad));
 }
 
 /// A candidate that a watcher has found bad must receive no calls while the store refuses the roll-back, also at peers
