Bound the read buffer of connections to targets

Cause: bytes_without_end_are_cut_and_the_next_call_is_served passed in one run and failed in the next with 80 MB of interim responses taken (bound 48 MiB). The exchange is abandoned after 8 of them, but the HTTP client reads up to 128 buffers before it notices, and its buffers grew to about 400 KB.

Change: buffers of at most 64 KiB, so about 8 MiB until the connection closes.

--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -40,6 +40,10 @@
 /// missed.
 pub const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(6500);
 
+/// Read buffer of a connection, in bytes; a longer response head is an error. The client reads up to 128 buffers before
+/// it notices that an exchange was abandoned, so the buffer bounds what a target can send without end.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Longest time to connect to the target, which runs on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -152,6 +156,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_BUFFER_BYTES)
             .build(connector);
         Self {
             address,
