--- a/tests/docs_names.rs
+++ b/tests/docs_names.rs
@@ -10,9 +10,16 @@
     fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
 }
 
-/// Returns the names of the test functions in `tests/<file>.rs`.
+/// Folders of the test files of the product and of the platform adapter.
+const TEST_FOLDERS: [&str; 2] = ["tests", "platform/tests"];
+
+/// Returns the names of the test functions in the file of this name.
 fn tests_of(file: &str) -> BTreeSet<String> {
-    let text = read(Path::new("tests").join(format!("{file}.rs")));
+    let texts = TEST_FOLDERS
+        .map(|folder| Path::new(folder).join(format!("{file}.rs")))
+        .into_iter()
+        .filter(|path| Path::new(env!("CARGO_MANIFEST_DIR")).join(path).exists());
+    let text: String = texts.map(read).collect();
     let mut names = BTreeSet::new();
     let mut is_test = false;
     for line in text.lines().map(str::trim) {
