--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -357,7 +357,11 @@
     match heartbeat {
         Heartbeat::Report(report) => apply_report(context, report),
         Heartbeat::Leave(instance) => {
-            if context.registry.lock().mark_leaving(&instance) {
+            if context
+                .registry
+                .lock()
+                .mark_leaving(&instance, Instant::now())
+            {
                 info!(
                     decision = "registry",
                     instance,
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -26,6 +26,9 @@
 /// Heartbeat periods without a report after which the target expires.
 const MISSED_HEARTBEATS: u32 = 4;
 
+/// Time after a departure in which a heartbeat from before it may still arrive.
+const LATE_HEARTBEAT_TIME: Duration = Duration::from_secs(15);
+
 /// Content of one heartbeat of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetReport {
@@ -84,6 +87,8 @@
     /// Target that has left according to peers, which this node announced before it was restarted. It stays announced
     /// so that it is known after a further restart.
     left_before: Option<TargetRecord>,
+    /// Instance that has said that it leaves while it was not the current one, and when it did.
+    left_unseen: Option<(InstanceId, Instant)>,
     /// Whether the target is held back until peers have said which target left before this node was restarted.
     held: bool,
 }
@@ -98,6 +103,7 @@
             last_report_at: None,
             past_instances: VecDeque::new(),
             left_before: None,
+            left_unseen: None,
             held: false,
         }
     }
@@ -135,7 +141,8 @@
         if report.address != self.address {
             return ReportOutcome::OtherAddress;
         }
-        if self.has_ended(&report) || !self.is_newer(&report) {
+        if self.has_ended(&report) || self.has_left_unseen(&report, now) || !self.is_newer(&report)
+        {
             return ReportOutcome::Stale;
         }
         if let Some(current) = self.current.take()
@@ -149,13 +156,14 @@
     }
 
     /// Marks an instance as leaving for good; returns whether it is the current one.
-    pub fn mark_leaving(&mut self, instance: &str) -> bool {
-        let Some(current) = self.current.as_mut() else {
+    ///
+    /// A node that has just started may hear of the departure before the first heartbeat of the instance.
+    pub fn mark_leaving(&mut self, instance: &str, now: Instant) -> bool {
+        let current = self.current.as_mut();
+        let Some(current) = current.filter(|current| current.instance == instance) else {
+            self.left_unseen = Some((instance.to_owned(), now));
             return false;
         };
-        if current.instance != instance {
-            return false;
-        }
         current.draining = true;
         let (name, born_ms) = (current.instance.clone(), current.born_ms);
         self.add_past_instance(name, born_ms);
@@ -204,6 +212,16 @@
             .any(|past| past.instance == report.instance && report.born_ms <= past.born_ms)
     }
 
+    /// Returns whether the instance has said that it leaves while this node did not know it, a short time ago. Its
+    /// start is not known, so a later start under the same name counts again after that time.
+    fn has_left_unseen(&self, report: &TargetReport, now: Instant) -> bool {
+        self.left_unseen
+            .as_ref()
+            .is_some_and(|(instance, left_at)| {
+                *instance == report.instance && now < *left_at + LATE_HEARTBEAT_TIME
+            })
+    }
+
     fn is_newer(&self, report: &TargetReport) -> bool {
         let Some(current) = &self.current else {
             return true;
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -79,7 +79,7 @@
     let now = Instant::now();
     let mut registry = registry();
     registry.apply(report("a", 1, 40), now);
-    registry.mark_leaving("a");
+    registry.mark_leaving("a", Instant::now());
 
     let outcome = registry.apply(report("a", 2, 1), now);
 
@@ -94,7 +94,7 @@
     let mut registry = registry();
     registry.apply(report("a", 1, 4), now);
 
-    assert!(registry.mark_leaving("a"));
+    assert!(registry.mark_leaving("a", Instant::now()));
 
     assert_eq!(registry.apply(report("a", 1, 5), now), ReportOutcome::Stale);
     assert!(registry.current().expect("present").draining);
@@ -135,7 +135,7 @@
     let now = Instant::now();
     let mut before = registry();
     before.apply(report("a", 1, 4), now);
-    before.mark_leaving("a");
+    before.mark_leaving("a", Instant::now());
     let announced = before.record(8).expect("announced while it leaves");
     let mut restarted = registry();
     restarted.hold();
@@ -176,3 +176,18 @@
     assert!(restarted.current().is_some());
     assert_eq!(restarted.record(8).expect("announced").left, None);
 }
+
+/// A node that has just started may get the departure of its target before a heartbeat that was sent earlier; the
+/// heartbeat must not bring the target into use.
+#[test]
+fn a_departure_before_the_first_heartbeat_counts() {
+    let now = Instant::now();
+    let mut restarted = registry();
+
+    assert!(!restarted.mark_leaving("a", now));
+    let late = restarted.apply(report("a", 1, 21), now + HEARTBEAT);
+    let other = restarted.apply(report("b", 2, 1), now + HEARTBEAT);
+
+    assert_eq!(late, ReportOutcome::Stale);
+    assert_eq!(other, ReportOutcome::Taken);
+}
