Announce the newer state last if a target changes while it is announced

Cause: publish_target read the state of the target under a lock and announced it after releasing the lock. Of two changes at the same time, the older state could be announced last: peers did not see a target until its next heartbeat, or saw one as available whose departure had been acknowledged, or the target of a stopping node.

Change: a lock is held from the reading of the state until its announcement; the same for the digest of moves.

Found while the failure of a rollout test was traced; not its cause.

--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,7 +1,7 @@
 //! State of a node that its servers and background tasks share.
 //!
-//! Lock order: `registry`, then those of `board`, then `target_tracker`, `budgets`, `exposure`, `splits`, `caller_deadlines`. No
-//! lock is held across an await.
+//! Lock order: `announcing`, then `registry`, then those of `board`, then `target_tracker`, `budgets`, `exposure`,
+//! `splits`, `caller_deadlines`. No lock is held across an await.
 
 use {
     super::{
@@ -58,6 +58,9 @@
     /// Rate limit of the log lines about single calls.
     pub call_log_limiter: LogRateLimiter,
     leaving: AtomicBool,
+    /// Held from the reading of a state until it is announced: of two changes at the same time, the newer state must
+    /// be announced last.
+    announcing: Mutex<()>,
 }
 
 impl MeshContext {
@@ -91,12 +94,14 @@
             caller_deadlines: Mutex::default(),
             call_log_limiter: LogRateLimiter::default(),
             leaving: AtomicBool::new(false),
+            announcing: Mutex::default(),
         }
     }
 
     /// Publishes the state of the target beside this node: opens or closes its admission queue and gossips its
     /// record.
     pub fn publish_target(&self) {
+        let _announcing = self.announcing.lock();
         let leaving = self.is_leaving();
         let record = {
             let registry = self.registry.lock();
@@ -122,6 +127,7 @@
 
     /// Gossips the digest of the moves that this node has; call it after a change of `board.moves`.
     pub fn publish_moves(&self) {
+        let _announcing = self.announcing.lock();
         let digest = self.board.moves.lock().digest();
         self.gossip.set_moves_digest(digest);
     }
