--- a/src/mesh/peer_discovery.rs
+++ b/src/mesh/peer_discovery.rs
@@ -30,6 +30,14 @@
 /// so that the load of the store does not grow with the fleet.
 const LIST_PERIOD_PER_NODE: Duration = Duration::from_secs(2);
 
+/// Longest time after the first start of a fleet at which a node reads the rows. A node that peers have joined by then
+/// reads none: it learns the other members from its peers.
+const FIRST_LIST_SPREAD: Duration = Duration::from_millis(1500);
+
+/// Times after its first start at which a node joins a peer that it knows, to receive all members that the peer knows.
+const FIRST_MEMBER_PULLS: [Duration; 2] =
+    [Duration::from_millis(1800), Duration::from_millis(4500)];
+
 /// Time between two rounds of joins.
 const JOIN_PERIOD: Duration = Duration::from_millis(300);
 
@@ -56,6 +64,18 @@
     unreachable: HashMap<NodeId, UnreachableNode>,
     /// Since when some node of the rows is not a member.
     unknown_since: Option<Instant>,
+    /// Times at which a known peer is joined although no node of the rows is unknown.
+    pulls_at: Vec<Instant>,
+}
+
+/// When this node reads the rows.
+#[derive(Debug)]
+struct ListSchedule {
+    /// Time of the last read, or of the start.
+    since: Instant,
+    /// Time to the next read while this node's own row is not written or it has no peers.
+    initial_period: Duration,
+    jitter: f64,
 }
 
 /// Backoff of a node that was not reached at the address of its row.
@@ -74,17 +94,25 @@
         peer_address: context.settings.node.peer_address,
     };
     let mut search = PeerSearch::default();
+    let mut schedule = ListSchedule::new(context.settings.first_start);
     let mut written = false;
-    let mut list_at = Instant::now();
+    if context.settings.first_start {
+        search.pulls_at = FIRST_MEMBER_PULLS
+            .map(|delay| Instant::now() + delay)
+            .to_vec();
+        written = log_failure((port.write_peer)(own.clone()).await).is_some();
+    }
     loop {
-        if Instant::now() >= list_at {
-            // Since each node writes its row before it reads the rows, of any two nodes at least one sees the other.
+        let peers = context.board.members.lock().len().saturating_sub(1) as u32;
+        if schedule.is_due(peers, written) {
+            // Since each node writes its row before it reads the rows, of any two nodes that read them at least one
+            // sees the other.
             written = written || log_failure((port.write_peer)(own.clone()).await).is_some();
             if let Some(rows) = log_failure((port.list_peers)().await) {
                 search.rows = rows;
                 release_if_alone(&context, &search.rows);
             }
-            list_at = Instant::now() + list_period(&context, written);
+            schedule.restart();
         }
         let joins = search.next_joins(&context, Instant::now());
         join_all(&context, joins, &mut search.unreachable).await;
@@ -100,13 +128,41 @@
     }
 }
 
-fn list_period(context: &MeshContext, written: bool) -> Duration {
-    let peers = context.board.members.lock().len().saturating_sub(1) as u32;
-    let period = match (written, peers) {
-        (false, _) | (_, 0) => INITIAL_LIST_PERIOD,
-        (true, peers) => LIST_PERIOD_PER_NODE * (peers + 1),
-    };
-    period.mul_f64(0.8 + 0.4 * rand::random::<f64>())
+impl ListSchedule {
+    /// Returns the schedule of a node that starts now. `first_start` tells whether the whole fleet does.
+    fn new(first_start: bool) -> Self {
+        Self {
+            since: Instant::now(),
+            initial_period: match first_start {
+                true => FIRST_LIST_SPREAD.mul_f64(rand::random::<f64>()),
+                false => Duration::ZERO,
+            },
+            jitter: random_jitter(),
+        }
+    }
+
+    /// Returns whether the rows are to be read. More peers make the next read later, also after the last one.
+    fn is_due(&self, peers: u32, written: bool) -> bool {
+        let period = match (written, peers) {
+            (false, _) | (_, 0) => self.initial_period,
+            // A node that starts in a running fleet needs the rows at once, whoever has found it.
+            _ if self.initial_period.is_zero() => Duration::ZERO,
+            (true, peers) => (LIST_PERIOD_PER_NODE * (peers + 1)).mul_f64(self.jitter),
+        };
+        self.since.elapsed() >= period
+    }
+
+    /// Starts the time to the next read.
+    fn restart(&mut self) {
+        self.since = Instant::now();
+        self.jitter = random_jitter();
+        self.initial_period = INITIAL_LIST_PERIOD.mul_f64(self.jitter);
+    }
+}
+
+/// Returns a random factor near 1, so that nodes do not read at the same time.
+fn random_jitter() -> f64 {
+    0.8 + 0.4 * rand::random::<f64>()
 }
 
 fn log_failure<T>(result: Result<T, PortError>) -> Option<T> {
@@ -123,7 +179,7 @@
         let (local, remote) = self.unknown_nodes(context, now);
         if local.is_empty() && remote.is_empty() {
             self.unknown_since = None;
-            return Vec::new();
+            return self.due_pull(context, now).into_iter().collect();
         }
         let since = *self.unknown_since.get_or_insert(now);
         let remote_delay = match is_reader(context) {
@@ -140,6 +196,14 @@
         joins
     }
 
+    /// Returns a known peer to join for its members, if that is due.
+    fn due_pull(&mut self, context: &MeshContext, now: Instant) -> Option<PeerRow> {
+        let due = self.pulls_at.iter().position(|at| *at <= now)?;
+        let peer = random_local_node(context)?;
+        self.pulls_at.remove(due);
+        Some(peer)
+    }
+
     /// Returns the nodes of the rows that are not members, split into those of the own failure domain and others.
     fn unknown_nodes(&self, context: &MeshContext, now: Instant) -> (Vec<PeerRow>, Vec<PeerRow>) {
         let own = &context.settings.node;
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -26,6 +26,8 @@
     pub target_address: SocketAddr,
     /// Service of the target beside the node; it is the caller's name of all calls that callers send to this node.
     pub service: ServiceKey,
+    /// Whether the whole fleet starts for the first time, so that no node has peers, a configuration or calls yet.
+    pub first_start: bool,
     /// Time between two heartbeats of the target.
     pub heartbeat: Duration,
     /// Memory that the bodies of requests and responses may take together, in bytes.
--- a/src/mesh/store_feed.rs
+++ b/src/mesh/store_feed.rs
@@ -6,7 +6,7 @@
         context::MeshContext,
         move_driver::watcher_rank,
         port::{FeedPosition, MoveBatch, OrderBatch, PlatformPort, PortError},
-        store_reader::{LONG_POLL_TIME, is_reader, read_wait},
+        store_reader::{LONG_POLL_TIME, ReadSchedule, is_reader},
     },
     crate::apply_gate::{ApplyError, ConfigSource},
     parking_lot::Mutex,
@@ -22,6 +22,13 @@
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
 
+/// Time within which the record of a move usually arrives from a peer; a node that has none after it reads the store.
+const RECORD_FROM_PEERS_TIME: Duration = Duration::from_millis(1500);
+
+/// Time after its start for which a node reads records of moves at once: until it has them, it sends no calls to a
+/// version that has taken over.
+const START_TIME: Duration = Duration::from_secs(2);
+
 /// Time between two checks whether this node has to read the store.
 const READER_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -90,13 +97,10 @@
 pub async fn follow_orders(context: Arc<MeshContext>, port: PlatformPort, clock: Arc<StoreClock>) {
     let mut backoff = StoreBackoff::new("orders");
     let mut position: FeedPosition = 0;
+    let schedule = ReadSchedule::new(context.settings.first_start);
+    let mut has_read = false;
     loop {
-        // The first read is unconditional, since the peers may have nothing yet.
-        let wait = match position {
-            0 => Some(Duration::ZERO),
-            _ => read_wait(&context),
-        };
-        let Some(wait) = wait else {
+        let Some(wait) = schedule.next_wait(&context, has_read) else {
             sleep(READER_CHECK_PERIOD).await;
             continue;
         };
@@ -105,6 +109,7 @@
                 backoff.record_success();
                 clock.set(batch.clock);
                 position = batch.position;
+                has_read = true;
                 let store_clock = batch.clock;
                 apply_orders(&context, batch);
                 context.gossip.confirm_store_read(store_clock);
@@ -157,8 +162,14 @@
 pub async fn follow_moves(context: Arc<MeshContext>, port: PlatformPort, clock: Arc<StoreClock>) {
     let mut backoff = StoreBackoff::new("moves");
     let mut position: FeedPosition = 0;
+    let started = Instant::now();
+    let mut lacking_since = None;
     loop {
-        if !should_follow_moves(&context, position) {
+        let patience = match started.elapsed() < START_TIME {
+            true => Duration::ZERO,
+            false => RECORD_FROM_PEERS_TIME,
+        };
+        if !should_follow_moves(&context, patience, &mut lacking_since) {
             sleep(READER_CHECK_PERIOD).await;
             continue;
         }
@@ -175,17 +186,30 @@
     }
 }
 
-fn should_follow_moves(context: &MeshContext, position: FeedPosition) -> bool {
+/// Returns whether this node reads the records of moves.
+///
+/// Other nodes than readers and watchers get them from their peers. One that lacks a record for longer than `patience`
+/// reads the store: a move that looks open may have ended before this node knew of it.
+fn should_follow_moves(
+    context: &MeshContext,
+    patience: Duration,
+    lacking_since: &mut Option<Instant>,
+) -> bool {
     let open_moves = context.board.moves.lock().open_moves();
-    if open_moves.is_empty() {
-        return false;
+    if open_moves.iter().all(|view| view.record().is_some()) {
+        *lacking_since = None;
+        if open_moves.is_empty() {
+            return false;
+        }
+    } else if lacking_since.get_or_insert_with(Instant::now).elapsed() >= patience {
+        return true;
     }
     let is_watched = || {
         open_moves
             .iter()
             .any(|view| watcher_rank(context, view).is_some())
     };
-    position == 0 || is_reader(context) || is_watched()
+    is_reader(context) || is_watched()
 }
 
 fn apply_move_records(context: &MeshContext, batch: MoveBatch) {
--- a/tests/mesh_context.rs
+++ b/tests/mesh_context.rs
@@ -43,6 +43,7 @@
         metrics_address: address,
         target_address: address,
         service: key(),
+        first_start: false,
         heartbeat: Duration::from_millis(1500),
         body_memory: 1 << 20,
         bounds: MeshBounds {
