Read the store in three failure domains at most, and spread the first start further

At the first start 161 of 295 nodes still read the rows of nodes, since all of them joined the same six peers first.

Change: the first-ranked nodes of three domains read; the domains are ranked like nodes, so a lost domain is replaced. Nodes join the unknown nodes of their domain in random order. First reads are spread over 3 s and 4 s.

--- a/src/mesh/node_rank.rs
+++ b/src/mesh/node_rank.rs
@@ -1,10 +1,10 @@
-//! Ranking of the live nodes for a duty by rendezvous hashing. All nodes with the same membership compute the same
+//! Ranking of the live nodes and of their failure domains for a duty by rendezvous hashing. All nodes with the same membership compute the same
 //! ranking, so each can tell without coordination whether a duty is its own.
 
 use {
     super::context::MeshContext,
     crate::membership::{MemberRecord, MemberState},
-    std::hash::Hasher,
+    std::{collections::BTreeSet, hash::Hasher},
     xxhash_rust::xxh3::Xxh3,
 };
 
@@ -26,9 +26,23 @@
     before.count()
 }
 
-fn weight(duty: &str, node: &str) -> u64 {
+/// Returns the rank of a failure domain among those with live nodes; 0 is first.
+pub fn domain_rank(context: &MeshContext, duty: &str, domain: &str) -> usize {
+    let members = context.board.members.lock();
+    let live = members
+        .iter()
+        .filter(|record| record.state == MemberState::Alive);
+    let domains: BTreeSet<&str> = live.map(|record| record.domain.as_str()).collect();
+    let own_weight = (weight(duty, domain), domain);
+    let before = domains
+        .into_iter()
+        .filter(|other| (weight(duty, other), *other) < own_weight);
+    before.count()
+}
+
+fn weight(duty: &str, name: &str) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.write(duty.as_bytes());
-    hasher.write(node.as_bytes());
+    hasher.write(name.as_bytes());
     hasher.finish()
 }
--- a/src/mesh/peer_discovery.rs
+++ b/src/mesh/peer_discovery.rs
@@ -7,13 +7,13 @@
     super::{
         context::MeshContext,
         port::{PeerRow, PlatformPort, PortError},
-        store_reader::is_reader,
+        store_reader::is_domain_reader,
     },
     crate::{
         config_sync::request_join, gossip::member_events::target_of, ids::NodeId,
         membership::MemberState, wire::JoinReply,
     },
-    rand::seq::IteratorRandom,
+    rand::seq::{IteratorRandom, SliceRandom},
     std::{
         collections::HashMap,
         sync::Arc,
@@ -32,11 +32,11 @@
 
 /// Longest time after the first start of a fleet at which a node reads the rows. A node that peers have joined by then
 /// reads none: it learns the other members from its peers.
-const FIRST_LIST_SPREAD: Duration = Duration::from_millis(1500);
+const FIRST_LIST_SPREAD: Duration = Duration::from_secs(3);
 
 /// Times after its first start at which a node joins a peer that it knows, to receive all members that the peer knows.
 const FIRST_MEMBER_PULLS: [Duration; 2] =
-    [Duration::from_millis(1800), Duration::from_millis(4500)];
+    [Duration::from_millis(3200), Duration::from_millis(5500)];
 
 /// Time between two rounds of joins.
 const JOIN_PERIOD: Duration = Duration::from_millis(300);
@@ -182,11 +182,13 @@
             return self.due_pull(context, now).into_iter().collect();
         }
         let since = *self.unknown_since.get_or_insert(now);
-        let remote_delay = match is_reader(context) {
+        let remote_delay = match is_domain_reader(context) {
             true => READER_REMOTE_DELAY,
             false => REMOTE_DELAY,
         };
         let mut joins = local;
+        // Nodes that have read the same rows join different ones, so that together they reach all of them soon.
+        joins.shuffle(&mut rand::rng());
         if now >= since + remote_delay {
             joins.extend(remote);
         } else if joins.is_empty() {
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -1,6 +1,6 @@
 //! Decides which nodes read the store, so that its load does not grow with the fleet.
 //!
-//! The first-ranked node of each failure domain reads. The others learn by gossip that they have missed no change. A
+//! The first-ranked nodes of up to three failure domains read. The others learn by gossip that they have missed no change. A
 //! node that has not received such a confirmation for a while reads the store itself; the nodes start to do so one
 //! after another in the order of their ranks, so that few do if one is enough, also while the store is away.
 //!
@@ -8,7 +8,10 @@
 //! random times, and those that have a configuration from a peer by then do not read.
 
 use {
-    super::{context::MeshContext, node_rank::own_rank},
+    super::{
+        context::MeshContext,
+        node_rank::{domain_rank, own_rank},
+    },
     std::time::{Duration, Instant},
 };
 
@@ -26,15 +29,18 @@
 /// so it reads earlier than that.
 const MAX_OVERDUE_DELAY: Duration = Duration::from_secs(8);
 
-/// Earliest and latest time of the first read at the first start of a fleet. Joins and gossip take about the first of
-/// them to carry a configuration to a peer.
+/// Earliest and latest time of the first read at the first start of a fleet. By the earliest, most nodes know some
+/// peers.
 const FIRST_READ_RANGE: (Duration, Duration) =
-    (Duration::from_millis(700), Duration::from_millis(2500));
+    (Duration::from_millis(1500), Duration::from_millis(4000));
 
 /// Time after the start from which a node may be the reader of its domain: until then it does not know its peers.
 const READER_DELAY: Duration = Duration::from_millis(700);
 
-/// Name of the duty in the ranking of the nodes.
+/// Failure domains with a reader. More would not make changes known sooner: gossip takes longer than a read.
+const READING_DOMAINS: usize = 3;
+
+/// Name of the duty in the ranking of nodes and domains.
 const READ_DUTY: &str = "read the store";
 
 /// Reads of the store by one node since its start.
@@ -77,8 +83,14 @@
     }
 }
 
-/// Returns whether this node is the reader of its failure domain.
+/// Returns whether this node is one of the readers of the store.
 pub fn is_reader(context: &MeshContext) -> bool {
+    let domain = &context.settings.node.failure_domain;
+    is_domain_reader(context) && domain_rank(context, READ_DUTY, domain) < READING_DOMAINS
+}
+
+/// Returns whether this node is the first-ranked one of its failure domain.
+pub fn is_domain_reader(context: &MeshContext) -> bool {
     let domain = &context.settings.node.failure_domain;
     !context.is_leaving() && own_rank(context, READ_DUTY, |record| &record.domain == domain) == 0
 }
--- a/tests/mesh_context.rs
+++ b/tests/mesh_context.rs
@@ -1,25 +1,13 @@
 //! Tests of the shared state of a node: what it announces of its target when several tasks change it at once.
 
-#[path = "support/fleet.rs"]
-#[allow(dead_code)]
-mod fleet;
+#[path = "support/mesh_node.rs"]
+mod mesh_node;
 
 use {
-    http::HeaderName,
-    poplarwing::{
-        blackboard::Blackboard,
-        config::ServiceKey,
-        gossip::GossipNode,
-        mesh::{
-            context::MeshContext,
-            registry::TargetReport,
-            settings::{CallHeaders, MeshBounds, MeshSettings},
-        },
-        node_metrics::NodeMetrics,
-    },
+    mesh_node::{context, key},
+    poplarwing::mesh::{context::MeshContext, registry::TargetReport},
     std::{
-        net::SocketAddr,
-        sync::{Arc, Barrier},
+        sync::Barrier,
         thread,
         time::{Duration, Instant},
     },
@@ -31,47 +19,6 @@
 /// Threads that make the first of two changes, each once.
 const FIRST_THREADS: usize = 3;
 
-fn settings() -> MeshSettings {
-    let address: SocketAddr = "127.0.0.1:9000".parse().expect("address");
-    let sections = fleet::settings("n1", address, &[]);
-    let header = HeaderName::from_static;
-    MeshSettings {
-        node: sections.node,
-        gossip: sections.gossip,
-        log: sections.log,
-        ready_address: address,
-        metrics_address: address,
-        target_address: address,
-        service: key(),
-        first_start: false,
-        heartbeat: Duration::from_millis(1500),
-        body_memory: 1 << 20,
-        bounds: MeshBounds {
-            grace: Duration::from_secs(6),
-            retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
-            retry_extra: 64.0,
-            exposure_share: 0.1,
-            exposure_slack: 50.0,
-        },
-        headers: CallHeaders {
-            call_id: header("x-call-id"),
-            deadline: header("x-deadline"),
-            signature: header("x-signature"),
-            expected_instance: header("x-instance"),
-            not_run: header("x-not-run"),
-            caller: header("x-caller"),
-        },
-    }
-}
-
-fn key() -> ServiceKey {
-    ServiceKey {
-        customer: "kestrel".to_owned(),
-        service: "ledger".to_owned(),
-    }
-}
-
 fn report(sequence: u64) -> TargetReport {
     TargetReport {
         instance: "i-1".to_owned(),
@@ -86,13 +33,6 @@
     }
 }
 
-fn context(settings: &Arc<MeshSettings>) -> MeshContext {
-    let board = Arc::new(Blackboard::default());
-    let gossip = GossipNode::with_sections(&settings.node, &settings.gossip, board.clone(), 1);
-    let metrics = NodeMetrics::new().expect("metrics");
-    MeshContext::new(settings.clone(), board, gossip, metrics)
-}
-
 /// Runs two changes of one context at the same time, the first of them on several threads.
 fn run_together(
     context: &MeshContext,
@@ -116,9 +56,8 @@
 /// the end of its hold was sent after the one from its end.
 #[test]
 fn a_heartbeat_at_the_end_of_the_hold_does_not_hide_the_target() {
-    let settings = Arc::new(settings());
     for repetition in 0..REPETITIONS {
-        let context = context(&settings);
+        let context = context("n1", "bunbury");
 
         run_together(
             &context,
@@ -140,9 +79,8 @@
 /// heartbeat was sent after that of the departure.
 #[test]
 fn a_heartbeat_at_the_time_of_the_departure_does_not_announce_the_target_again() {
-    let settings = Arc::new(settings());
     for repetition in 0..REPETITIONS {
-        let context = context(&settings);
+        let context = context("n1", "bunbury");
         context.release_target();
         context.registry.lock().apply(report(1), Instant::now());
 
@@ -162,9 +100,8 @@
 /// Guards against new calls to the target of a node that stops, in the same way.
 #[test]
 fn a_heartbeat_at_the_stop_of_the_node_does_not_announce_its_target_again() {
-    let settings = Arc::new(settings());
     for repetition in 0..REPETITIONS {
-        let context = context(&settings);
+        let context = context("n1", "bunbury");
         context.release_target();
         context.registry.lock().apply(report(1), Instant::now());
 
