Spread the first calls of entry nodes over targets whose service time is not known

Cause: a target without a known service time costs 0, whatever is in flight there. Of several such targets the first in the order of names was selected, by each entry node, and again until its first response. The same follows each restart of many nodes.

Change: a small random addition to the cost decides among equal targets, and calls in flight count at a target without a known service time.

Measured: the new test failed before (entry node 0 sent 4 of 4 calls to the first of 10 targets).

--- a/src/mesh/target_selection.rs
+++ b/src/mesh/target_selection.rs
@@ -1,4 +1,8 @@
 //! Selection of the target of a call by expected latency, failure rate and failure domain.
+//!
+//! It answers the pattern of many entry nodes that each know little: right after a start, or in a fleet where a node
+//! calls a given target twice a minute, equal targets are told apart by chance and not by their order, and calls in
+//! flight count also at a target whose service time is not known.
 
 use {
     super::admission::TargetLoad,
@@ -39,6 +43,14 @@
 /// the same target.
 const JITTER_FRACTION: f64 = 0.05;
 
+/// Largest random addition to the cost of any target. It is small beside the cost of a target that is known to be
+/// idle, and decides among those that are not known.
+const TIE_COST: f64 = 0.005;
+
+/// Cost of a target without a known service time whose slots are all taken by this node's calls. It exceeds the cost
+/// of an idle target that answers in a third of the objective.
+const UNKNOWN_BUSY_COST: f64 = 0.05;
+
 /// Weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.15;
 
@@ -205,6 +217,7 @@
                 cost += REMOTE_COST + REMOTE_COST_PER_BYTE * needs.body_bytes as f64;
             }
             cost *= 1.0 + JITTER_FRACTION * rng.random::<f64>();
+            cost += TIE_COST * rng.random::<f64>();
             if best.is_none_or(|(best_backing_off, best_cost, _)| {
                 (backing_off, cost) < (best_backing_off, best_cost)
             }) {
@@ -236,7 +249,13 @@
         let route_time = reported.map_or(0.0, Duration::as_secs_f64);
         let latency = route_time * (1.0 + busy_share) + mean_time * wait;
         let lateness = latency / objective;
-        lateness.powi(LATENESS_EXPONENT) + stats.current_failure_rate(now) * FAILURE_COST
+        let unknown_busy_cost = match reported {
+            Some(_) => 0.0,
+            None => UNKNOWN_BUSY_COST * estimated_calls / slots,
+        };
+        lateness.powi(LATENESS_EXPONENT)
+            + unknown_busy_cost
+            + stats.current_failure_rate(now) * FAILURE_COST
     }
 }
 
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -20,7 +20,7 @@
     },
     rand::{SeedableRng, rngs::StdRng},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         time::{Duration, Instant},
     },
 };
@@ -154,6 +154,47 @@
     assert_eq!(target.map(|target| target.node.as_str()), Some("new"));
 }
 
+/// Entry nodes that have just started must not all send their first calls to the same target.
+#[test]
+fn entry_nodes_without_knowledge_spread_their_calls_over_all_targets() {
+    const ENTRY_NODES: u64 = 60;
+    const CALLS: usize = 4;
+    let targets: Vec<TargetEndpoint> = (0..10)
+        .map(|number| endpoint(&format!("t{number}"), "bunbury", "v1"))
+        .collect();
+    let domain = "bunbury".to_owned();
+    let needs = CallNeeds {
+        route: "jobs",
+        latency_objective: Duration::from_millis(500),
+        own_domain: &domain,
+        body_bytes: 0,
+    };
+    let now = Instant::now();
+    let mut counts: HashMap<String, usize> = HashMap::new();
+
+    for entry in 0..ENTRY_NODES {
+        let mut tracker = TargetTracker::default();
+        let mut rng = StdRng::seed_from_u64(entry);
+        let mut used = HashSet::new();
+        // No call ends before the last one is sent.
+        for _ in 0..CALLS {
+            let chosen = tracker.choose(&targets, &[], &needs, now, &mut rng);
+            let node = chosen.expect("a target").node.clone();
+            tracker.begin(&node);
+            *counts.entry(node.clone()).or_default() += 1;
+            used.insert(node);
+        }
+        assert_eq!(used.len(), CALLS, "entry node {entry} used {used:?}");
+    }
+
+    let mean = ENTRY_NODES as usize * CALLS / targets.len();
+    let most = counts.values().max().copied().unwrap_or_default();
+    assert!(
+        counts.len() == targets.len() && most <= 2 * mean,
+        "{counts:?}"
+    );
+}
+
 /// A retry must not go to a target that was already tried.
 #[test]
 fn tried_targets_are_not_selected_again() {
