Complete a move only on results at the full share, and take few calls as few only with all counters

Change: completion needs counters of the candidate and calls that ended at the full share; without them the move is rolled back at 0.95 of its period. Few calls count only if the counters of all targets were received.

Measured: a_move_without_results_at_the_full_share_does_not_complete failed before (found Complete). The second test sets a field that did not exist before, so it was not seen to fail on the code before.

--- a/src/mesh/move_driver.rs
+++ b/src/mesh/move_driver.rs
@@ -73,6 +73,8 @@
     step: StepCalls,
     /// Whether the last collection brought counters of a target of the candidate.
     has_counters: bool,
+    /// Whether it brought those of all targets of the service.
+    has_all_counters: bool,
     /// Time at which a step became due that the record in the store does not show yet.
     due_since: Option<Instant>,
 }
@@ -128,6 +130,7 @@
         .differences(&readings, state.started.elapsed());
     state.add(view, &differences);
     state.has_counters = has_candidate_counters(view, &targets, &readings);
+    state.has_all_counters = readings.len() >= targets.len();
     let Some(now) = clock.now() else {
         return;
     };
@@ -179,6 +182,7 @@
             started: Instant::now(),
             step: StepCalls::new(candidate, Instant::now()),
             has_counters: false,
+            has_all_counters: false,
             due_since: None,
         }
     }
@@ -306,6 +310,7 @@
         step_age: state.step.age(Instant::now()),
         is_failing: state.step.is_failing(),
         has_counters: state.has_counters,
+        has_all_counters: state.has_all_counters,
         has_candidate: targets
             .iter()
             .any(|target| target.version == view.order.candidate),
--- a/src/mesh/move_schedule.rs
+++ b/src/mesh/move_schedule.rs
@@ -81,6 +81,8 @@
     pub is_failing: bool,
     /// Whether counters of the candidate's targets were received for this decision.
     pub has_counters: bool,
+    /// Whether the counters of all targets of the service were received for this decision.
+    pub has_all_counters: bool,
     /// Whether a target of the candidate is available.
     pub has_candidate: bool,
 }
@@ -142,10 +144,11 @@
             MoveVerdict::Bad(_) => false,
         };
     if progress.permille >= FULL_PERMILLE {
-        let is_settled = progress.lasts_for(FULL_FRACTION);
-        return match is_settled && fraction >= COMPLETE_FRACTION {
-            true => MoveStep::Complete,
-            false => MoveStep::Stay,
+        let is_settled = progress.lasts_for(FULL_FRACTION) && fraction >= COMPLETE_FRACTION;
+        return match (is_settled && progress.is_supported(), is_overdue) {
+            (true, _) => MoveStep::Complete,
+            (false, true) => MoveStep::RollBack("no results at the full share".to_owned()),
+            (false, false) => MoveStep::Stay,
         };
     }
     if is_overdue && !is_good {
@@ -173,7 +176,7 @@
 
     /// Returns whether the service has so few calls that a bad version stays within the operator's bound.
     fn has_few_calls(&self) -> bool {
-        self.all_calls.is_some_and(|calls| calls <= FEW_CALLS)
+        self.has_all_counters && self.all_calls.is_some_and(|calls| calls <= FEW_CALLS)
     }
 
     /// Returns whether the calls at the present share allow a larger one. A service with few calls gives the candidate
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -390,6 +390,7 @@
         step_age: Duration::from_secs(3),
         is_failing: false,
         has_counters: true,
+        has_all_counters: true,
         has_candidate: true,
     }
 }
@@ -400,6 +401,46 @@
     next_step(progress, &test.verdict())
 }
 
+/// A candidate that receives all calls must not be complete before calls at that load were judged: one that fails only
+/// under load would have taken over unseen.
+#[test]
+fn a_move_without_results_at_the_full_share_does_not_complete() {
+    let without_counters = |elapsed| MoveProgress {
+        has_counters: false,
+        step_calls: 0,
+        ..progress(1000, elapsed)
+    };
+    let without_calls = MoveProgress {
+        step_calls: 2,
+        ..progress(1000, Duration::from_secs(12))
+    };
+
+    let waiting = untested_step(&without_counters(Duration::from_secs(12)));
+    let overdue = untested_step(&without_counters(Duration::from_millis(13_500)));
+
+    assert_eq!(waiting, MoveStep::Stay);
+    assert_eq!(untested_step(&without_calls), MoveStep::Stay);
+    assert!(matches!(overdue, MoveStep::RollBack(_)), "{overdue:?}");
+}
+
+/// A watcher that cannot see the counters of some targets must not take a service as one with few calls, for which the
+/// last step needs no proof.
+#[test]
+fn few_calls_in_incomplete_counters_do_not_stand_for_proof() {
+    let elapsed = Duration::from_secs(10);
+    let few_calls = |has_all_counters| MoveProgress {
+        all_calls: Some(100),
+        has_all_counters,
+        ..progress(600, elapsed)
+    };
+
+    let complete = untested_step(&few_calls(true));
+    let incomplete = untested_step(&few_calls(false));
+
+    assert_eq!(complete, MoveStep::Share(1000, "scheduled"));
+    assert_eq!(incomplete, MoveStep::Stay);
+}
+
 /// A move must complete within its period, and start with a small share.
 #[test]
 fn a_move_starts_small_and_completes_within_its_period() {
--- a/tests/mesh_exposure.rs
+++ b/tests/mesh_exposure.rs
@@ -261,6 +261,7 @@
                 step_age: step.age(at(now)),
                 is_failing: step.is_failing(),
                 has_counters: true,
+                has_all_counters: true,
                 has_candidate: true,
             };
             let next = next_step(&progress, &test.verdict());
