Count a suspension of the machine in the age of the last confirmation from the store

Cause: a node sends calls to a candidate only within 3 s of a confirmation from the store. The age was measured by the monotonic clock, which does not count the time for which a machine is suspended, so a node that woke up acted on a permission that had run out meanwhile.

Change: the suspended time (boot clock less monotonic clock) is noted with each new confirmation and added to its age. A packet that arrives during a suspension and is read after it still counts as new; this is open.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -3,6 +3,7 @@
 //! The protocol is in `machine` and does no I/O; this file runs it on a socket and starts the pulls of newer
 //! configurations. The lock of the machine is taken before any lock of the blackboard (the shared tables of a node).
 
+pub mod confirmation_age;
 pub mod counters;
 pub mod event_queue;
 pub mod machine;
@@ -20,6 +21,7 @@
         wire::{JoinReply, MemberEvent},
         wire_codec::{PacketError, decode_packet, encode_packet},
     },
+    confirmation_age::{ClockReading, ConfirmationAge},
     counters::GossipCounters,
     machine::{
         GossipMachine, GossipTables, MachineOutput, NewerMoves, NewerVersion, OutgoingPacket,
@@ -80,6 +82,8 @@
     counters: GossipCounters,
     machine: Mutex<GossipMachine>,
     newer_moves: watch::Sender<Option<NewerMoves>>,
+    /// Locked after `machine` where both are.
+    confirmation: Mutex<ConfirmationAge>,
     started: Instant,
     process_epoch: u64,
     socket: OnceLock<Arc<UdpSocket>>,
@@ -123,6 +127,7 @@
             counters: GossipCounters::default(),
             machine: Mutex::new(machine),
             newer_moves: watch::Sender::new(None),
+            confirmation: Mutex::new(ConfirmationAge::new(ClockReading::now(Duration::ZERO))),
             started: Instant::now(),
             process_epoch: process_epoch(),
             socket: OnceLock::new(),
@@ -180,9 +185,11 @@
     }
 
     /// Returns the time since this node's copy of the platform store was last known to be current.
+    ///
+    /// Time for which the machine was suspended counts.
     pub fn time_since_store_confirmation(&self) -> Duration {
-        let confirmed_at = self.shared.machine.lock().store_confirmed_at();
-        self.shared.started.elapsed().saturating_sub(confirmed_at)
+        let now = ClockReading::now(self.shared.started.elapsed());
+        self.shared.confirmation.lock().age(now)
     }
 
     /// Announces the digest of the moves (rollouts of a service version) that this node has.
@@ -343,9 +350,13 @@
         step: impl FnOnce(&mut GossipMachine, Duration, &mut GossipTables<'_>) -> MachineOutput,
     ) -> Option<NewerVersion> {
         let now = self.shared.started.elapsed();
+        let reading = ClockReading::now(now);
         let output = {
             let mut machine = self.shared.machine.lock();
-            with_tables(&self.shared.board, |tables| step(&mut machine, now, tables))
+            let output = with_tables(&self.shared.board, |tables| step(&mut machine, now, tables));
+            let mut confirmation = self.shared.confirmation.lock();
+            confirmation.record(machine.store_confirmed_at(), reading);
+            output
         };
         for outgoing in &output.packets {
             self.send(outgoing);
