Ask the store once for a missing record of a move

Cause: found when the change was read again. A node that lacked the record of a move followed the records until it had one. While the store refuses to write the first record, that is each node of the fleet.

Change: a node that is neither a reader nor a watcher asks the store once.

--- a/src/mesh/node_rank.rs
+++ b/src/mesh/node_rank.rs
@@ -1,5 +1,5 @@
-//! Ranking of the live nodes and of their failure domains for a duty by rendezvous hashing. All nodes with the same membership compute the same
-//! ranking, so each can tell without coordination whether a duty is its own.
+//! Ranking of the live nodes and of their failure domains for a duty by rendezvous hashing. All nodes with the same
+//! membership compute the same ranking, so each can tell without coordination whether a duty is its own.
 
 use {
     super::context::MeshContext,
--- a/src/mesh/store_feed.rs
+++ b/src/mesh/store_feed.rs
@@ -157,19 +157,28 @@
     context.publish_moves();
 }
 
+/// Record of an open move that neither this node nor its peers have. A move that looks open may have ended before this
+/// node knew of it; one that has just been ordered has no record anywhere.
+#[derive(Debug, Default)]
+struct MissingRecord {
+    since: Option<Instant>,
+    /// Whether the store has answered since then.
+    asked: bool,
+}
+
 /// Follows the progress of moves while some move is open and this node is a store reader or a watcher of an open
 /// move; runs until it is dropped.
 pub async fn follow_moves(context: Arc<MeshContext>, port: PlatformPort, clock: Arc<StoreClock>) {
     let mut backoff = StoreBackoff::new("moves");
     let mut position: FeedPosition = 0;
     let started = Instant::now();
-    let mut lacking_since = None;
+    let mut missing = MissingRecord::default();
     loop {
         let patience = match started.elapsed() < START_TIME {
             true => Duration::ZERO,
             false => RECORD_FROM_PEERS_TIME,
         };
-        if !should_follow_moves(&context, patience, &mut lacking_since) {
+        if !should_follow_moves(&context, &mut missing, patience) {
             sleep(READER_CHECK_PERIOD).await;
             continue;
         }
@@ -178,6 +187,7 @@
                 backoff.record_success();
                 clock.set(batch.clock);
                 position = batch.position;
+                missing.asked = true;
                 apply_move_records(&context, batch);
             }
             Err(PortError::HistoryGone { .. }) => position = 0,
@@ -186,22 +196,28 @@
     }
 }
 
-/// Returns whether this node reads the records of moves.
-///
-/// Other nodes than readers and watchers get them from their peers. One that lacks a record for longer than `patience`
-/// reads the store: a move that looks open may have ended before this node knew of it.
+impl MissingRecord {
+    /// Returns whether the record has been missing for `patience` and this node has not asked the store for it yet.
+    fn is_due(&mut self, is_missing: bool, patience: Duration) -> bool {
+        if !is_missing {
+            *self = Self::default();
+            return false;
+        }
+        let since = *self.since.get_or_insert_with(Instant::now);
+        !self.asked && since.elapsed() >= patience
+    }
+}
+
+/// Returns whether this node reads the records of moves. Other nodes than readers and watchers get them from their
+/// peers, and ask the store once for a record that is missing.
 fn should_follow_moves(
     context: &MeshContext,
+    missing: &mut MissingRecord,
     patience: Duration,
-    lacking_since: &mut Option<Instant>,
 ) -> bool {
     let open_moves = context.board.moves.lock().open_moves();
-    if open_moves.iter().all(|view| view.record().is_some()) {
-        *lacking_since = None;
-        if open_moves.is_empty() {
-            return false;
-        }
-    } else if lacking_since.get_or_insert_with(Instant::now).elapsed() >= patience {
+    let is_missing = open_moves.iter().any(|view| view.record().is_none());
+    if missing.is_due(is_missing, patience) {
         return true;
     }
     let is_watched = || {
@@ -209,7 +225,7 @@
             .iter()
             .any(|view| watcher_rank(context, view).is_some())
     };
-    is_reader(context) || is_watched()
+    !open_moves.is_empty() && (is_reader(context) || is_watched())
 }
 
 fn apply_move_records(context: &MeshContext, batch: MoveBatch) {
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -1,8 +1,8 @@
 //! Decides which nodes read the store, so that its load does not grow with the fleet.
 //!
-//! The first-ranked nodes of up to three failure domains read. The others learn by gossip that they have missed no change. A
-//! node that has not received such a confirmation for a while reads the store itself; the nodes start to do so one
-//! after another in the order of their ranks, so that few do if one is enough, also while the store is away.
+//! The first-ranked nodes of up to three failure domains read. The others learn by gossip that they have missed no
+//! change. A node that has not received such a confirmation for a while reads the store itself; the nodes start to do
+//! so one after another in the order of their ranks, so that few do if one is enough, also while the store is away.
 //!
 //! A node that starts reads once at once, unless the whole fleet starts for the first time: then the nodes read at
 //! random times, and those that have a configuration from a peer by then do not read.
