Give nodes that have just started no part of the fleet's extra retries and calls to candidates

Cause: a node divides the fleet's bounds by the number of nodes that it knows, and a node that had just started took 1 for it. After a restart of many nodes each could use the whole bound until it knew the others.

Change: a node takes no part of the extra retries and of the slack until 2.5 s after its start, by when it knows its fleet. What calls earn stays.

--- a/src/mesh/exposure_limit.rs
+++ b/src/mesh/exposure_limit.rs
@@ -56,12 +56,13 @@
 }
 
 impl ExposureLimits {
-    /// Returns limits within the fleet's bounds, without calls.
+    /// Returns limits without calls. The node does not know the size of its fleet yet, and so takes no part of the
+    /// slack: all nodes may have been restarted at the same time.
     pub fn new(bounds: &MeshBounds) -> Self {
         Self {
             share: bounds.exposure_share * USED_FRACTION,
             slack: bounds.exposure_slack * USED_FRACTION,
-            nodes: 1.0,
+            nodes: f64::INFINITY,
             counts: HashMap::new(),
         }
     }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -49,6 +49,9 @@
 /// Longest time after the start for which the target is held back until a peer has answered a join.
 const MAX_TARGET_HOLD: Duration = Duration::from_secs(1);
 
+/// Time after the start by which a node knows the size of its fleet, also if all nodes were restarted with it.
+const FLEET_KNOWN_AFTER: Duration = Duration::from_millis(2500);
+
 /// Fraction of the grace period for which a stopping node still accepts calls. Within this time, callers notice by
 /// failed readiness checks that the node leaves.
 const SERVE_FRACTION: f64 = 0.42;
@@ -419,8 +422,10 @@
                 .filter(|record| record.state == MemberState::Alive);
             alive.count()
         };
-        context.budgets.lock().set_nodes(nodes);
-        context.exposure.lock().set_nodes(nodes);
+        if started.elapsed() >= FLEET_KNOWN_AFTER {
+            context.budgets.lock().set_nodes(nodes);
+            context.exposure.lock().set_nodes(nodes);
+        }
         let config = context.board.gate.current();
         if let Some(spec) = config.backend(&context.settings.service) {
             context.target.resize(spec.connections);
--- a/src/mesh/retry_share.rs
+++ b/src/mesh/retry_share.rs
@@ -31,13 +31,14 @@
 }
 
 impl RetryShares {
-    /// Returns full buckets within the fleet's bounds.
+    /// Returns the buckets of a node that does not know the size of its fleet yet, and so takes no part of the extra
+    /// retries: all nodes may have been restarted at the same time.
     pub fn new(bounds: &MeshBounds) -> Self {
         Self {
             ratio: bounds.retry_ratio * USED_FRACTION,
             window: bounds.retry_window,
             extra_retries: bounds.retry_extra * USED_FRACTION,
-            nodes: 1.0,
+            nodes: f64::INFINITY,
             shares: HashMap::new(),
         }
     }
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -7,6 +7,7 @@
         mesh::{
             admission::TargetLoad,
             caller_deadline::CallerDeadlines,
+            exposure_limit::{ExposureLimits, MoveKnowledge},
             move_schedule::{MoveProgress, MoveStep, next_step},
             move_step::StepCalls,
             move_table::{MoveTable, MoveView},
@@ -277,6 +278,59 @@
     }
 }
 
+/// Nodes that have all just been restarted, and do not know of each other yet, must not each use the retries of the
+/// whole fleet.
+#[test]
+fn retries_of_restarted_nodes_stay_within_the_limit_of_the_fleet() {
+    let (nodes, calls) = (295, 5);
+    let bounds = MeshBounds {
+        retry_extra: 630.0,
+        ..bounds()
+    };
+    let now = Instant::now();
+
+    let mut retries = 0;
+    for _ in 0..nodes {
+        let mut shares = RetryShares::new(&bounds);
+        for _ in 0..calls {
+            shares.earn(&key("ledger"), now);
+        }
+        while shares.spend(&key("ledger"), now) {
+            retries += 1;
+        }
+    }
+
+    let allowed = bounds.retry_ratio * f64::from(nodes * calls) + bounds.retry_extra;
+    assert!(
+        f64::from(retries) <= allowed,
+        "{retries} retries, {allowed} allowed"
+    );
+}
+
+/// Nodes that have all just been restarted must not each send a candidate the calls that the whole fleet may.
+#[test]
+fn calls_to_a_candidate_from_restarted_nodes_stay_within_the_slack() {
+    let nodes = 295;
+    let bounds = bounds();
+    let known = MoveKnowledge {
+        service: "ledger",
+        order: 7,
+        permille: 600,
+        confirmation_age: Duration::ZERO,
+    };
+
+    let mut calls = 0;
+    for _ in 0..nodes {
+        let mut limits = ExposureLimits::new(&bounds);
+        while limits.allows(&known) {
+            limits.record("ledger", 7, true);
+            calls += 1;
+        }
+    }
+
+    assert!(f64::from(calls) <= bounds.exposure_slack, "{calls} calls");
+}
+
 /// The retries of all nodes together must not exceed the fleet's limit in any window.
 #[test]
 fn retries_of_all_nodes_stay_within_the_limit_of_the_fleet() {
