Let a node without a configuration follow the store from its start

Cause: since nodes read as readers only 0.7 s after their start, a node that had found no configuration in its first read learned of one late.

Change: the delay holds only for nodes that have a configuration.

--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -34,7 +34,8 @@
 const FIRST_READ_RANGE: (Duration, Duration) =
     (Duration::from_millis(1500), Duration::from_millis(4000));
 
-/// Time after the start from which a node may be the reader of its domain: until then it does not know its peers.
+/// Time after the start from which a node with a configuration may be the reader of its domain: until then it does not
+/// know its peers.
 const READER_DELAY: Duration = Duration::from_millis(700);
 
 /// Failure domains with a reader. More would not make changes known sooner: gossip takes longer than a read.
@@ -79,7 +80,8 @@
         if is_overdue(context) {
             return Some(Duration::ZERO);
         }
-        (age >= READER_DELAY && is_reader(context)).then_some(LONG_POLL_TIME)
+        let may_read = age >= READER_DELAY || context.board.gate.version() == 0;
+        (may_read && is_reader(context)).then_some(LONG_POLL_TIME)
     }
 }
 
