--- a/src/mesh/peer_discovery.rs
+++ b/src/mesh/peer_discovery.rs
@@ -187,8 +187,11 @@
             false => REMOTE_DELAY,
         };
         let mut joins = local;
-        // Nodes that have read the same rows join different ones, so that together they reach all of them soon.
-        joins.shuffle(&mut rand::rng());
+        if context.settings.first_start {
+            // Nodes that have read the same rows join different ones, so that together they reach all of them soon.
+            // After a restart, joins of the same nodes are fewer: these know the others first, and list them.
+            joins.shuffle(&mut rand::rng());
+        }
         if now >= since + remote_delay {
             joins.extend(remote);
         } else if joins.is_empty() {
