Log departures of unknown targets, and requests that are sent after a departure

A departure of an instance that the node does not know is acknowledged without a line, and nothing shows that an admitted call is sent after a departure.

Change: a line for each departure, known or not; the time since the last departure in the line of a rejected or new heartbeat; a warning with that time if a request is sent although its target has left since the call was admitted. No decision changes.

--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -359,38 +359,43 @@
 fn apply_heartbeat(context: &MeshContext, heartbeat: Heartbeat) {
     match heartbeat {
         Heartbeat::Report(report) => apply_report(context, report),
-        Heartbeat::Leave(instance) => {
-            if context
-                .registry
-                .lock()
-                .mark_leaving(&instance, Instant::now())
-            {
-                info!(
-                    decision = "registry",
-                    instance,
-                    outcome = "left",
-                    "target is leaving"
-                );
-                context.publish_target();
-            }
-        }
+        Heartbeat::Leave(instance) => apply_departure(context, &instance),
+    }
+}
+
+fn apply_departure(context: &MeshContext, instance: &str) {
+    let now = Instant::now();
+    let is_current = context.registry.lock().mark_leaving(instance, now);
+    let outcome = match is_current {
+        true => "left",
+        false => "left, not the current target",
+    };
+    info!(
+        decision = "registry",
+        instance, outcome, "target is leaving"
+    );
+    if is_current {
+        context.publish_target();
     }
 }
 
 fn apply_report(context: &MeshContext, report: TargetReport) {
     let (instance, draining) = (report.instance.clone(), report.draining);
     let (sequence, born_ms) = (report.sequence, report.born_ms);
-    let (before, outcome) = {
+    let now = Instant::now();
+    let (before, departed_at, outcome) = {
         let mut registry = context.registry.lock();
         let before = registry
             .current()
             .map(|known| (known.instance.clone(), known.draining));
-        (before, registry.apply(report, Instant::now()))
+        (before, registry.departed_at(), registry.apply(report, now))
     };
+    let since_departure_ms =
+        departed_at.map(|at| now.saturating_duration_since(at).as_millis() as u64);
     let changed = before != Some((instance.clone(), draining));
     if changed || outcome != ReportOutcome::Taken {
         info!(
-            decision = "registry", instance, draining, sequence, born_ms,
+            decision = "registry", instance, draining, sequence, born_ms, since_departure_ms,
             outcome = %outcome, "target report received"
         );
     }
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -89,6 +89,8 @@
     left_before: Option<TargetRecord>,
     /// Instance that has said that it leaves while it was not the current one, and when it did.
     left_unseen: Option<(InstanceId, Instant)>,
+    /// When the last departure was announced first, whether or not the instance was known.
+    departed_at: Option<Instant>,
     /// Whether the target is held back until peers have said which target left before this node was restarted.
     held: bool,
 }
@@ -104,6 +106,7 @@
             past_instances: VecDeque::new(),
             left_before: None,
             left_unseen: None,
+            departed_at: None,
             held: false,
         }
     }
@@ -145,11 +148,15 @@
         {
             return ReportOutcome::Stale;
         }
+        let was_draining = self.is_draining();
         if let Some(current) = self.current.take()
             && (current.instance != report.instance || current.born_ms != report.born_ms)
         {
             self.add_past_instance(current.instance, current.born_ms);
         }
+        if report.draining && !was_draining {
+            self.departed_at = Some(now);
+        }
         self.current = Some(report);
         self.last_report_at = Some(now);
         ReportOutcome::Taken
@@ -159,6 +166,9 @@
     ///
     /// A node that has just started may hear of the departure before the first heartbeat of the instance.
     pub fn mark_leaving(&mut self, instance: &str, now: Instant) -> bool {
+        if !self.is_draining() {
+            self.departed_at = Some(now);
+        }
         let current = self.current.as_mut();
         let Some(current) = current.filter(|current| current.instance == instance) else {
             self.left_unseen = Some((instance.to_owned(), now));
@@ -206,6 +216,17 @@
         })
     }
 
+    /// Returns when the last departure was announced.
+    pub fn departed_at(&self) -> Option<Instant> {
+        self.departed_at
+    }
+
+    fn is_draining(&self) -> bool {
+        self.current
+            .as_ref()
+            .is_some_and(|current| current.draining)
+    }
+
     fn has_ended(&self, report: &TargetReport) -> bool {
         self.past_instances
             .iter()
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -113,6 +113,7 @@
         .and_then(Result::ok)
         .ok_or_else(|| MeshRefusal::not_run("body-missing", UNREACHABLE_RETRY_AFTER))?,
     };
+    log_send_after_departure(context, metadata, head);
     let request = target_request(context, metadata, head, content, &instance, deadline);
     let started = Instant::now();
     let result = exchange(context, metadata, request, deadline).await;
@@ -130,6 +131,23 @@
     result
 }
 
+/// Logs a request that is sent although the target has left since the call was admitted.
+fn log_send_after_departure(context: &MeshContext, metadata: &HopMetadata, head: &Parts) {
+    let Err(refusal) = current_instance(context, metadata) else {
+        return;
+    };
+    let departed_at = context.registry.lock().departed_at();
+    let call = head.headers.get(&context.settings.headers.call_id);
+    warn!(
+        decision = "exchange",
+        call = call.and_then(|value| value.to_str().ok()),
+        route = metadata.route,
+        reason = %refusal.reason,
+        since_departure_ms = departed_at.map(|at| at.elapsed().as_millis() as u64),
+        "request is sent after its target has left"
+    );
+}
+
 /// Logs an exchange without a valid response.
 fn log_failure(
     context: &MeshContext,
