Use a target after a start of its node only once a health check confirms it

What callers saw: requests at a target that had announced its departure, after its node had been restarted (DRAIN).

Cause: a node forgets with its process which departures it has acknowledged, and a heartbeat from before the departure may arrive after the start. The departure came back only from a peer that knew it, lived and answered first: not after the end of all nodes, nor if it had come before the first heartbeat of a node that then ended.

Change: a node that did not start with the whole fleet holds its target back until a health check answers 200 with the name of the instance that the heartbeat named; a target that leaves fails it. Checks repeat with backoff; 15 s after the start no late heartbeat is expected and the next heartbeat counts. It replaces the end of the hold by the first answer of a peer, by being alone, or by 1 s. The record that peers return stays. Weighed against a row in the store for each departure, which costs a call each and cannot be written while the store is away.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -36,4 +36,5 @@
 pub mod store_feed;
 pub mod store_reader;
 pub mod target;
+pub mod target_check;
 pub mod target_selection;
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -72,7 +72,9 @@
         metrics: NodeMetrics,
     ) -> Self {
         let mut registry = TargetRegistry::new(settings.target_address, settings.heartbeat);
-        registry.hold();
+        if !settings.first_start {
+            registry.hold();
+        }
         let budgets = RetryShares::new(&settings.bounds);
         let exposure = ExposureLimits::new(&settings.bounds);
         let held_bytes = HeldBytes::new(settings.body_memory);
@@ -118,9 +120,9 @@
         self.gossip.announce_target(record);
     }
 
-    /// Ends the hold of the target after a start of the node.
-    pub fn release_target(&self) {
-        if self.registry.lock().release() {
+    /// Puts a target into use that was held back after a start of the node, if it is still the instance to confirm.
+    pub fn confirm_target(&self, instance: &str) {
+        if self.registry.lock().confirm(instance) {
             self.publish_target();
         }
     }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -14,6 +14,7 @@
         settings::MeshSettings,
         store_feed::{StoreClock, follow_moves, follow_orders},
         target::answer_hop,
+        target_check::confirm_target,
     },
     crate::{
         blackboard::Blackboard,
@@ -46,9 +47,6 @@
 /// Time between two checks of the target beside this node and of the membership.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
-/// Longest time after the start for which the target is held back until a peer has answered a join.
-const MAX_TARGET_HOLD: Duration = Duration::from_secs(1);
-
 /// Time after the start by which a node knows the size of its fleet, also if all nodes were restarted with it.
 const FLEET_KNOWN_AFTER: Duration = Duration::from_millis(2500);
 
@@ -257,7 +255,10 @@
     spawn_task(&mut tasks, "move driver", run_until(background, driver));
     let peers = discover_peers(context.clone(), port.clone());
     spawn_task(&mut tasks, "peers", run_until(background, peers));
-    let watch = watch_target(context.clone());
+    let (watched, checked) = (context.clone(), context.clone());
+    let watch = async move {
+        tokio::join!(watch_target(watched), confirm_target(checked));
+    };
     spawn_task(&mut tasks, "target watch", run_until(background, watch));
     tasks
 }
@@ -409,9 +410,6 @@
     let started = Instant::now();
     loop {
         sleep(CHECK_PERIOD).await;
-        if started.elapsed() >= MAX_TARGET_HOLD {
-            context.release_target();
-        }
         if context.registry.lock().expire(Instant::now()) {
             info!(
                 decision = "registry",
--- a/src/mesh/peer_discovery.rs
+++ b/src/mesh/peer_discovery.rs
@@ -110,7 +110,6 @@
             written = written || log_failure((port.write_peer)(own.clone()).await).is_some();
             if let Some(rows) = log_failure((port.list_peers)().await) {
                 search.rows = rows;
-                release_if_alone(&context, &search.rows);
             }
             schedule.restart();
         }
@@ -120,14 +119,6 @@
     }
 }
 
-/// Ends the hold of the target if there is no other node that could know of its departure.
-fn release_if_alone(context: &MeshContext, rows: &[PeerRow]) {
-    let own = &context.settings.node.id;
-    if rows.iter().all(|row| &row.node == own) {
-        context.release_target();
-    }
-}
-
 impl ListSchedule {
     /// Returns the schedule of a node that starts now. `first_start` tells whether the whole fleet does.
     fn new(first_start: bool) -> Self {
@@ -272,21 +263,21 @@
     }
 }
 
-/// Takes over which target has left before this node was restarted, and ends the hold of the target.
+/// Takes over which target has left before this node was restarted.
 fn restore_left_target(context: &MeshContext, reply: &JoinReply) {
-    if let Some(left) = &reply.left_target {
-        let record = target_of(left);
-        info!(
-            decision = "registry",
-            left = ?record.left,
-            outcome = "left before the restart",
-            "target has left according to a peer"
-        );
-        if context.registry.lock().restore_left(record) {
-            context.publish_target();
-        }
+    let Some(left) = &reply.left_target else {
+        return;
+    };
+    let record = target_of(left);
+    info!(
+        decision = "registry",
+        left = ?record.left,
+        outcome = "left before the restart",
+        "target has left according to a peer"
+    );
+    if context.registry.lock().restore_left(record) {
+        context.publish_target();
     }
-    context.release_target();
 }
 
 /// Joins a node and takes over the members that it returns; returns whether the node is that of the row. A newer
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -27,7 +27,7 @@
 const MISSED_HEARTBEATS: u32 = 4;
 
 /// Time after a departure in which a heartbeat from before it may still arrive.
-const LATE_HEARTBEAT_TIME: Duration = Duration::from_secs(15);
+pub const LATE_HEARTBEAT_TIME: Duration = Duration::from_secs(15);
 
 /// Content of one heartbeat of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -91,7 +91,7 @@
     left_unseen: Option<(InstanceId, Instant)>,
     /// When the last departure was announced first, whether or not the instance was known.
     departed_at: Option<Instant>,
-    /// Whether the target is held back until peers have said which target left before this node was restarted.
+    /// Whether the target is held back until it is confirmed that it did not leave before this node was restarted.
     held: bool,
 }
 
@@ -111,15 +111,36 @@
         }
     }
 
-    /// Holds the target back until `release`: a late heartbeat may come from a target whose departure the node
+    /// Holds the target back until `confirm`: a late heartbeat may come from a target whose departure the node
     /// acknowledged before it was restarted.
     pub fn hold(&mut self) {
         self.held = true;
     }
 
-    /// Ends the hold; returns whether there was one.
-    pub fn release(&mut self) -> bool {
-        std::mem::take(&mut self.held)
+    /// Returns whether the target is held back.
+    pub fn is_held(&self) -> bool {
+        self.held
+    }
+
+    /// Returns the instance to confirm: it is held back and has not announced that it leaves.
+    pub fn unconfirmed(&self) -> Option<InstanceId> {
+        let current = self.current.as_ref().filter(|_| self.held);
+        let staying = current.filter(|current| !current.draining)?;
+        Some(staying.instance.clone())
+    }
+
+    /// Ends the hold if the instance is still the one to confirm; returns whether it did.
+    pub fn confirm(&mut self, instance: &str) -> bool {
+        let confirmed = self.unconfirmed().is_some_and(|held| held == instance);
+        self.held &= !confirmed;
+        confirmed
+    }
+
+    /// Ends the hold without a confirmation; only heartbeats from now on put a target into use.
+    pub fn release_empty(&mut self) {
+        self.held = false;
+        self.current = None;
+        self.last_report_at = None;
     }
 
     /// Takes over from a peer which target has left; returns whether it is the current one.
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -64,6 +64,8 @@
     pub deadline: HeaderName,
     /// Signature of a response, made by the target; a response without one is not from the target.
     pub signature: HeaderName,
+    /// Instance that answers a health check.
+    pub instance: HeaderName,
     /// Target instance that a request is meant for.
     pub expected_instance: HeaderName,
     /// Set on a response if the target did not run the request.
--- a/tests/mesh_context.rs
+++ b/tests/mesh_context.rs
@@ -65,7 +65,11 @@
                 context.registry.lock().apply(report(1), Instant::now());
                 context.publish_target();
             },
-            MeshContext::release_target,
+            |context| {
+                while context.registry.lock().is_held() {
+                    context.confirm_target("i-1");
+                }
+            },
         );
 
         assert!(
@@ -81,8 +85,8 @@
 fn a_heartbeat_at_the_time_of_the_departure_does_not_announce_the_target_again() {
     for repetition in 0..REPETITIONS {
         let context = context("n1", "bunbury");
-        context.release_target();
         context.registry.lock().apply(report(1), Instant::now());
+        context.confirm_target("i-1");
 
         run_together(&context, MeshContext::publish_target, |context| {
             context.registry.lock().mark_leaving("i-1", Instant::now());
@@ -102,8 +106,8 @@
 fn a_heartbeat_at_the_stop_of_the_node_does_not_announce_its_target_again() {
     for repetition in 0..REPETITIONS {
         let context = context("n1", "bunbury");
-        context.release_target();
         context.registry.lock().apply(report(1), Instant::now());
+        context.confirm_target("i-1");
 
         run_together(&context, MeshContext::publish_target, MeshContext::leave);
 
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -143,10 +143,10 @@
 
     assert!(
         restarted.current().is_none(),
-        "used before peers were heard"
+        "used before it was confirmed"
     );
     restarted.restore_left(announced.clone());
-    restarted.release();
+    assert!(!restarted.confirm("a"), "confirmed after it had left");
     let late = restarted.apply(report("a", 1, 6), now);
 
     assert_eq!(late, ReportOutcome::Stale);
@@ -160,10 +160,12 @@
         restarted.apply(report("a", 2, 1), now),
         ReportOutcome::Taken
     );
+    assert!(restarted.confirm("a"));
     assert!(restarted.current().is_some());
 }
 
-/// A target that goes on running while its node is restarted must be used again as soon as a peer has answered.
+/// A target that goes on running while its node is restarted must be used again as soon as it is confirmed, but not
+/// because another instance is.
 #[test]
 fn a_target_that_stays_is_used_after_a_restart_of_its_node() {
     let now = Instant::now();
@@ -171,7 +173,9 @@
     restarted.hold();
     restarted.apply(report("a", 1, 5), now);
 
-    assert!(restarted.release());
+    assert!(!restarted.confirm("b"));
+    assert!(restarted.current().is_none());
+    assert!(restarted.confirm("a"));
 
     assert!(restarted.current().is_some());
     assert_eq!(restarted.record(8).expect("announced").left, None);
@@ -191,3 +195,21 @@
     assert_eq!(late, ReportOutcome::Stale);
     assert_eq!(other, ReportOutcome::Taken);
 }
+
+/// A target whose departure was acknowledged must not be used again after it has been silent for so long that it
+/// expired: it may run for many seconds after its last heartbeat, and an earlier heartbeat may still arrive.
+#[test]
+fn a_late_heartbeat_does_not_revive_an_expired_target_that_was_draining() {
+    let now = Instant::now();
+    let mut registry = registry();
+    registry.apply(report("a", 1, 4), now);
+    registry.apply(draining(report("a", 1, 5)), now);
+    assert!(registry.expire(now + HEARTBEAT * 5));
+
+    let late = registry.apply(report("a", 1, 3), now + HEARTBEAT * 5);
+
+    assert_eq!(late, ReportOutcome::Stale);
+    assert!(registry.current().is_none());
+    let announced = registry.record(8).and_then(|record| record.left);
+    assert_eq!(announced.expect("peers still know of it").instance, "a");
+}
--- a/tests/support/mesh_node.rs
+++ b/tests/support/mesh_node.rs
@@ -78,6 +78,7 @@
             call_id: header("x-call-id"),
             deadline: header("x-deadline"),
             signature: header("x-signature"),
+            instance: header("x-own-instance"),
             expected_instance: header("x-instance"),
             not_run: header("x-not-run"),
             caller: header("x-caller"),
