Do not send a call that waited for its body or a connection until its target had left

What callers saw: nothing; the target got a request after its departure had been acknowledged (DRAIN).

Cause: a call was checked when it got its slot, and then waited for its body, which another node sends on request, and for one of the connections that the target accepts. Both waits are bounded only by the deadline of the call, and the queue, which refuses waiting calls at a departure, no longer holds it.

Change: a permit for a slot carries a token that is cancelled when the queue closes. A call whose body is not there yet, or that has no connection yet, is refused as not run; one that has got its connection goes on. The warning about sends after a departure goes, since there are none left to count.

--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -12,6 +12,7 @@
         time::{Duration, Instant},
     },
     tokio::{sync::oneshot, time::timeout_at},
+    tokio_util::sync::CancellationToken,
 };
 
 /// Least weight of the newest sample in an average of service times.
@@ -75,10 +76,17 @@
 /// Sort key of waiting calls: time of the latency objective plus the penalty of the rank, then order of arrival.
 type WaiterKey = (Instant, u64);
 
+/// Slot that is given to a waiting call.
+#[derive(Debug)]
+struct SlotGrant {
+    started: Instant,
+    withdrawn: CancellationToken,
+}
+
 /// A waiting call; dropping its sender refuses it.
 #[derive(Debug)]
 struct Waiter {
-    admit: oneshot::Sender<Instant>,
+    admit: oneshot::Sender<SlotGrant>,
     /// Time after which the call is refused instead of started.
     latest_start: Instant,
 }
@@ -96,6 +104,8 @@
     route_times: HashMap<RouteName, AverageTime>,
     next_sequence: u64,
     closed: bool,
+    /// Cancelled when the queue is closed; each opening after that brings a new one.
+    withdrawn: CancellationToken,
 }
 
 /// Slots of a target with an ordered queue of waiting calls.
@@ -112,6 +122,8 @@
 pub struct SlotPermit {
     state: Arc<Mutex<QueueState>>,
     started: Instant,
+    /// Cancelled when the target accepts no new calls any more. A call that has not been sent by then must not be.
+    pub withdrawn: CancellationToken,
 }
 
 /// Parameters of a call that asks for a slot.
@@ -141,6 +153,7 @@
             route_times: HashMap::new(),
             next_sequence: 0,
             closed: false,
+            withdrawn: CancellationToken::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -153,14 +166,19 @@
     pub fn open(&self, slots: u32) {
         let mut state = self.state.lock();
         state.slots = slots.max(1);
-        state.closed = false;
+        if state.closed {
+            state.closed = false;
+            state.withdrawn = CancellationToken::new();
+        }
         state.admit_next();
     }
 
-    /// Refuses all waiting and all further calls until the queue is opened again.
+    /// Refuses all waiting and all further calls until the queue is opened again, and withdraws the permits of calls
+    /// that have not been sent yet.
     pub fn close(&self) {
         let mut state = self.state.lock();
         state.closed = true;
+        state.withdrawn.cancel();
         // Dropping the senders refuses the waiting calls.
         state.waiting.clear();
     }
@@ -214,6 +232,7 @@
             let permit = SlotPermit {
                 state: self.state.clone(),
                 started: now,
+                withdrawn: state.withdrawn.clone(),
             };
             return Ok(Admission::Admitted(permit));
         }
@@ -303,7 +322,11 @@
             if waiter.latest_start < now {
                 continue;
             }
-            if waiter.admit.send(now).is_ok() {
+            let grant = SlotGrant {
+                started: now,
+                withdrawn: self.withdrawn.clone(),
+            };
+            if waiter.admit.send(grant).is_ok() {
                 self.start(now);
             }
         }
@@ -371,7 +394,7 @@
     state: Arc<Mutex<QueueState>>,
     key: WaiterKey,
     latest_start: Instant,
-    admitted: oneshot::Receiver<Instant>,
+    admitted: oneshot::Receiver<SlotGrant>,
     resolved: bool,
 }
 
@@ -385,10 +408,11 @@
             Err(_) => return Err(AdmissionRefusal::Full),
         };
         self.resolved = true;
-        let started = granted.map_err(|_| AdmissionRefusal::Full)?;
+        let grant = granted.map_err(|_| AdmissionRefusal::Full)?;
         Ok(SlotPermit {
             state: self.state.clone(),
-            started,
+            started: grant.started,
+            withdrawn: grant.withdrawn,
         })
     }
 }
@@ -401,8 +425,8 @@
         let mut state = self.state.lock();
         state.waiting.remove(&self.key);
         // The slot may have been granted between the last poll and the drop.
-        if let Ok(started) = self.admitted.try_recv() {
-            state.stop(started);
+        if let Ok(grant) = self.admitted.try_recv() {
+            state.stop(grant.started);
             state.admit_next();
         }
     }
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        admission::{AdmissionRefusal, SlotRequest},
+        admission::{AdmissionRefusal, SlotPermit, SlotRequest},
         context::MeshContext,
         exchange_trace::ExchangeTrace,
         hop::{EXECUTION_HEADER, HOP_METADATA_HEADER, HopMetadata, LOAD_HEADER, set_load},
@@ -95,28 +95,18 @@
             let wait = context.queue.load().expected_wait();
             match refusal {
                 AdmissionRefusal::Full => MeshRefusal::not_run("full", wait),
-                AdmissionRefusal::Closed => {
-                    MeshRefusal::not_run("target-leaving", UNREACHABLE_RETRY_AFTER)
-                }
+                AdmissionRefusal::Closed => target_leaving(),
             }
         })?;
     // The target may have left or been replaced at its address while the call was waiting.
     let instance = current_instance(context, metadata)?;
     let content = match body {
         CallBody::Whole(content) => content,
-        CallBody::Streaming(body) => timeout_at(
-            deadline.into(),
-            read_whole(body, MAX_REQUEST_BYTES, &context.held_bytes),
-        )
-        .await
-        .ok()
-        .and_then(Result::ok)
-        .ok_or_else(|| MeshRefusal::not_run("body-missing", UNREACHABLE_RETRY_AFTER))?,
+        CallBody::Streaming(body) => read_body(context, body, deadline, &permit.withdrawn).await?,
     };
-    log_send_after_departure(context, metadata, head);
     let request = target_request(context, metadata, head, content, &instance, deadline);
     let started = Instant::now();
-    let result = exchange(context, metadata, request, deadline).await;
+    let result = exchange(context, metadata, request, deadline, &permit).await;
     drop(permit);
     if let Err(refusal) = &result {
         log_failure(
@@ -131,21 +121,25 @@
     result
 }
 
-/// Logs a request that is sent although the target has left since the call was admitted.
-fn log_send_after_departure(context: &MeshContext, metadata: &HopMetadata, head: &Parts) {
-    let Err(refusal) = current_instance(context, metadata) else {
-        return;
-    };
-    let departed_at = context.registry.lock().departed_at();
-    let call = head.headers.get(&context.settings.headers.call_id);
-    warn!(
-        decision = "exchange",
-        call = call.and_then(|value| value.to_str().ok()),
-        route = metadata.route,
-        reason = %refusal.reason,
-        since_departure_ms = departed_at.map(|at| at.elapsed().as_millis() as u64),
-        "request is sent after its target has left"
-    );
+/// Reads the body that another node sends, as long as the target accepts calls.
+async fn read_body(
+    context: &MeshContext,
+    body: Incoming,
+    deadline: Instant,
+    withdrawn: &CancellationToken,
+) -> Result<Bytes, MeshRefusal> {
+    let reading = read_whole(body, MAX_REQUEST_BYTES, &context.held_bytes);
+    let reading = timeout_at(deadline.into(), reading);
+    let content = withdrawn.run_until_cancelled(reading).await;
+    let content = content.ok_or_else(target_leaving)?;
+    content
+        .ok()
+        .and_then(Result::ok)
+        .ok_or_else(|| MeshRefusal::not_run("body-missing", UNREACHABLE_RETRY_AFTER))
+}
+
+fn target_leaving() -> MeshRefusal {
+    MeshRefusal::not_run("target-leaving", UNREACHABLE_RETRY_AFTER)
 }
 
 /// Logs an exchange without a valid response.
@@ -188,7 +182,7 @@
         return Err(refuse("other-target"));
     }
     if report.draining {
-        return Err(refuse("target-leaving"));
+        return Err(target_leaving());
     }
     Ok(report.instance.clone())
 }
@@ -242,6 +236,7 @@
     metadata: &HopMetadata,
     request: Request<Bytes>,
     deadline: Instant,
+    permit: &SlotPermit,
 ) -> Result<Response<WholeBody>, MeshRefusal> {
     let left = deadline.saturating_duration_since(Instant::now());
     let call_id = request
@@ -255,7 +250,8 @@
     });
     let mut request = request;
     let flooded = watch_interim(&mut request);
-    let sent = timeout_at(deadline.into(), context.target.send_tracked(request));
+    let sent = context.target.send_tracked(request, &permit.withdrawn);
+    let sent = timeout_at(deadline.into(), sent);
     let sent = tokio::select! {
         sent = sent => sent,
         () = flooded.cancelled() => {
@@ -265,7 +261,10 @@
     };
     let answer = match sent {
         Err(_) => return Err(record_timeout(trace)),
-        Ok(Err(error)) => return Err(record_exchange_error(trace, &error)),
+        Ok(Err(error)) => {
+            let withdrawn = permit.withdrawn.is_cancelled();
+            return Err(record_exchange_error(trace, &error, withdrawn));
+        }
         Ok(Ok(answer)) => answer,
     };
     match read_answer(context, call_id.as_ref(), answer, deadline).await {
@@ -303,8 +302,16 @@
     MeshRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline")
 }
 
-fn record_exchange_error(trace: ExchangeTrace, error: &ExchangeError) -> MeshRefusal {
+fn record_exchange_error(
+    trace: ExchangeTrace,
+    error: &ExchangeError,
+    withdrawn: bool,
+) -> MeshRefusal {
     match error.outcome {
+        AttemptOutcome::NotRun if withdrawn => {
+            trace.end_not_run();
+            target_leaving()
+        }
         AttemptOutcome::NotRun => {
             trace.end_not_run();
             MeshRefusal::not_run("target-unreachable", UNREACHABLE_RETRY_AFTER)
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -30,10 +30,12 @@
     std::{
         error::Error,
         net::SocketAddr,
+        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
     thiserror::Error,
+    tokio_util::sync::CancellationToken,
 };
 
 /// Time without announcements after which a target is withdrawn: three announcements, one every 2 s, were
@@ -176,12 +178,26 @@
     }
 
     /// Sends a request like `send` and also returns the connection that carries the response.
+    ///
+    /// A request that still waits for a connection when `withdrawn` is cancelled is not sent. One that has got its
+    /// connection goes on.
     pub async fn send_tracked(
         &self,
         mut request: Request<ExchangeBody>,
+        withdrawn: &CancellationToken,
     ) -> Result<TrackedAnswer, ExchangeError> {
         let capture = capture_connection(&mut request);
-        let response = self.send(request).await?;
+        let mut sending = pin!(self.send(request));
+        let response = tokio::select! {
+            biased;
+            () = withdrawn.cancelled() => None,
+            response = &mut sending => Some(response),
+        };
+        let response = match response {
+            Some(response) => response?,
+            None if capture.connection_metadata().is_some() => sending.await?,
+            None => return Err(self.withdrawn_error()),
+        };
         let connection = AnswerConnection { capture };
         Ok(TrackedAnswer {
             response,
@@ -189,12 +205,26 @@
         })
     }
 
+    fn withdrawn_error(&self) -> ExchangeError {
+        ExchangeError {
+            outcome: AttemptOutcome::NotRun,
+            stale: false,
+            step: "wait for a connection to",
+            peer: self.peer_name(),
+            cause: "the target accepts no more calls".to_owned(),
+        }
+    }
+
+    fn peer_name(&self) -> String {
+        format!("target {}", self.address)
+    }
+
     /// Sends a request and returns the response once its head has arrived; the body is streamed.
     pub async fn send(
         &self,
         mut request: Request<ExchangeBody>,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        let peer = format!("target {}", self.address);
+        let peer = self.peer_name();
         *request.uri_mut() = peer_uri(self.address, request.uri().path_and_query());
         let result = self.client.request(request).await;
         result.map_err(|error| exchange_error(&error, &peer))
