Keep a leaving target that has expired known as departed

Cause: a target that announces its departure by a heartbeat, and not by deregistering, was forgotten once it had been silent for four heartbeats. It may run for longer. A heartbeat from before the departure was then taken, and peers no longer returned the departure to a node that was restarted.

Change: the start of such a target joins those that have ended when it expires, and its record stays announced.

--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -84,8 +84,8 @@
     current: Option<TargetReport>,
     last_report_at: Option<Instant>,
     past_instances: VecDeque<PastInstance>,
-    /// Target that has left according to peers, which this node announced before it was restarted. It stays announced
-    /// so that it is known after a further restart.
+    /// Target that has left and is not the current one: before this node was restarted, according to peers, or before it
+    /// fell silent. It stays announced so that it is known after a further restart.
     left_before: Option<TargetRecord>,
     /// Instance that has said that it leaves while it was not the current one, and when it did.
     left_unseen: Option<(InstanceId, Instant)>,
@@ -201,16 +201,21 @@
         true
     }
 
-    /// Removes a target that has missed too many heartbeats; returns whether it did.
+    /// Removes a target that has missed too many heartbeats; returns whether it did. One that was leaving stays known
+    /// as departed, since it may run for longer than it sends heartbeats.
     pub fn expire(&mut self, now: Instant) -> bool {
         let expired = self.last_report_at.is_some_and(|last_report_at| {
             now.saturating_duration_since(last_report_at) > self.report_timeout
         });
-        if expired {
-            self.last_report_at = None;
-            self.current = None;
+        if !expired {
+            return false;
+        }
+        self.last_report_at = None;
+        if let Some(departed) = self.current.take().filter(|current| current.draining) {
+            self.left_before = Some(record_of(&departed, 0));
+            self.add_past_instance(departed.instance, departed.born_ms);
         }
-        expired
+        true
     }
 
     /// Returns the last accepted report; none if the target has not reported, has expired or is held back.
@@ -223,18 +228,7 @@
         let Some(current) = self.current() else {
             return self.left_before.clone();
         };
-        Some(TargetRecord {
-            key: current.service.clone(),
-            version: current.version.clone(),
-            slots: current.slots,
-            connections,
-            draining: current.draining,
-            demand: 0,
-            left: current.draining.then(|| TargetStart {
-                instance: current.instance.clone(),
-                born_ms: current.born_ms,
-            }),
-        })
+        Some(record_of(current, connections))
     }
 
     /// Returns when the last departure was announced.
@@ -286,3 +280,19 @@
             .push_back(PastInstance { instance, born_ms });
     }
 }
+
+/// Returns the record of a target that is sent to other nodes.
+fn record_of(report: &TargetReport, connections: u32) -> TargetRecord {
+    TargetRecord {
+        key: report.service.clone(),
+        version: report.version.clone(),
+        slots: report.slots,
+        connections,
+        draining: report.draining,
+        demand: 0,
+        left: report.draining.then(|| TargetStart {
+            instance: report.instance.clone(),
+            born_ms: report.born_ms,
+        }),
+    }
+}
