Refuse calls that come late in the grace period instead of passing them on

Change: from that moment on calls are refused as not run, with Retry-After, at the entry and for other nodes; calls in progress go on.

Evidence: node_calls::a_stopping_node_passes_on_no_call_that_comes_late_in_the_grace_period fails with the mechanism taken away (200 from the target) and passes with it, for a call of a client and for one that another node forwards.

--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -58,6 +58,8 @@
     /// Rate limit of the log lines about single calls.
     pub call_log_limiter: LogRateLimiter,
     leaving: AtomicBool,
+    /// Whether the node takes no further calls because it stops soon.
+    closing: AtomicBool,
     /// Held from the reading of a state until it is announced: of two changes at the same time, the newer state must
     /// be announced last.
     announcing: Mutex<()>,
@@ -96,6 +98,7 @@
             caller_deadlines: Mutex::default(),
             call_log_limiter: LogRateLimiter::default(),
             leaving: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             announcing: Mutex::default(),
         }
     }
@@ -140,6 +143,16 @@
         self.publish_target();
     }
 
+    /// Refuses all calls from now on; those in progress go on.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether calls are refused because the node stops soon.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the node is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -146,6 +146,9 @@
     started: Instant,
     call_id: String,
 ) -> Result<EntryCall, MeshRefusal> {
+    if context.is_closing() {
+        return Err(MeshRefusal::stopping());
+    }
     if !wait_for_config(context).await {
         return Err(MeshRefusal::not_run(
             "no-configuration",
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -475,6 +475,7 @@
                 "row of this node not removed from the store; other nodes will try its address, with backoff"
             );
         }
+        context.close();
         server_stop.close.cancel();
         server_stop.connections.close();
         let left = (grace - EXIT_MARGIN).saturating_sub(stopped_at.elapsed());
--- a/src/mesh/refusal.rs
+++ b/src/mesh/refusal.rs
@@ -9,6 +9,9 @@
     std::{borrow::Cow, time::Duration},
 };
 
+/// `Retry-After` of a node that is about to stop.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Body of a request or response that is held in memory as a whole.
 pub type WholeBody = Full<Bytes>;
 
@@ -49,6 +52,11 @@
         }
     }
 
+    /// Returns the refusal of a call that arrives too late to end before the node stops.
+    pub fn stopping() -> Self {
+        Self::not_run("node-stopping", STOPPING_RETRY_AFTER)
+    }
+
     /// Returns the error of a request that may have run.
     pub fn unknown(status: StatusCode, reason: &'static str) -> Self {
         Self {
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -60,6 +60,9 @@
     context: Arc<MeshContext>,
     request: Request<Incoming>,
 ) -> Response<WholeBody> {
+    if context.is_closing() {
+        return MeshRefusal::stopping().hop_answer();
+    }
     let (head, body) = request.into_parts();
     let Some(metadata) = HopMetadata::parse(&head.headers) else {
         return MeshRefusal::rejected(StatusCode::BAD_REQUEST, "invalid-hop").hop_answer();
