Take only a rejection that names its request for a promise that it has not run

What callers saw (report of another operator): 'not run, try again' for requests that a target had run, after a faulty target had written an earlier rejection once more on a kept connection.

Cause: a rejection without an identifier counted for whatever request was waiting. One that named another request was found out already.

Change: a rejection counts only if it names the request; else the outcome is unknown and the connection is not used again.

Evidence: target_faults::a_repeated_rejection_is_not_taken_for_that_of_the_next_request failed before without an identifier (503 for a call that had run) and passes. The other report, a response that ends within its head, cannot happen here: target_faults::a_response_that_ends_within_its_head_is_no_success passes on the code before, for each length of the head. node_calls 20, hostile_input 3, departures 6 pass.

--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -353,9 +353,10 @@
     } = answer;
     let (mut head, body) = response.into_parts();
     let echoed = head.headers.get(&names.call_id);
-    if head.headers.contains_key(&names.not_run) && (echoed.is_none() || echoed == call_id) {
+    if echoed == call_id && head.headers.contains_key(&names.not_run) {
         return Err(ResponseError::NotRun);
     }
+    // Also a rejection without an identifier: it may be that of an earlier request, sent once more.
     if echoed != call_id {
         connection.poison();
         return Err(ResponseError::Invalid("foreign-answer"));
