--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -132,15 +132,20 @@
     /// Ends the hold if the instance is still the one to confirm; returns whether it did.
     pub fn confirm(&mut self, instance: &str) -> bool {
         let confirmed = self.unconfirmed().is_some_and(|held| held == instance);
-        self.held &= !confirmed;
+        if confirmed {
+            self.held = false;
+        }
         confirmed
     }
 
-    /// Ends the hold without a confirmation; only heartbeats from now on put a target into use.
+    /// Ends the hold without a confirmation; only heartbeats from now on put a target into use. One that leaves stays
+    /// known.
     pub fn release_empty(&mut self) {
         self.held = false;
-        self.current = None;
-        self.last_report_at = None;
+        if !self.is_draining() {
+            self.current = None;
+            self.last_report_at = None;
+        }
     }
 
     /// Takes over from a peer which target has left; returns whether it is the current one.
--- a/tests/mesh_registry.rs
+++ b/tests/mesh_registry.rs
@@ -181,6 +181,39 @@
     assert_eq!(restarted.record(8).expect("announced").left, None);
 }
 
+/// A target that could not be confirmed must be used again in the end, but not because of a heartbeat that may have been
+/// late.
+#[test]
+fn an_unconfirmed_target_is_used_from_its_next_heartbeat_after_the_hold() {
+    let now = Instant::now();
+    let mut restarted = registry();
+    restarted.hold();
+    restarted.apply(report("a", 1, 5), now);
+
+    restarted.release_empty();
+
+    assert!(!restarted.is_held());
+    assert!(restarted.current().is_none());
+    restarted.apply(report("a", 1, 6), now);
+    assert!(restarted.current().is_some());
+}
+
+/// A target that announces its departure during the hold must not return with a late heartbeat after it.
+#[test]
+fn a_departure_during_the_hold_counts_after_it() {
+    let now = Instant::now();
+    let mut restarted = registry();
+    restarted.hold();
+    restarted.apply(draining(report("a", 1, 6)), now);
+    assert!(!restarted.confirm("a"), "confirmed while it leaves");
+
+    restarted.release_empty();
+    let late = restarted.apply(report("a", 1, 5), now);
+
+    assert_eq!(late, ReportOutcome::Stale);
+    assert!(restarted.current().expect("known").draining);
+}
+
 /// A node that has just started may get the departure of its target before a heartbeat that was sent earlier; the
 /// heartbeat must not bring the target into use.
 #[test]
