Announce the target of a first start after the first join again

Cause: since a node of a first start used its target at once, not after a peer had answered or 1 s.

Change: such a node waits for a peer again, for at most 1 s, and then uses its target without a health check, since no departure can have been acknowledged before a first start.

--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -74,9 +74,7 @@
         metrics: NodeMetrics,
     ) -> Self {
         let mut registry = TargetRegistry::new(settings.target_address, settings.heartbeat);
-        if !settings.first_start {
-            registry.hold();
-        }
+        registry.hold();
         let budgets = RetryShares::new(&settings.bounds);
         let exposure = ExposureLimits::new(&settings.bounds);
         let held_bytes = HeldBytes::new(settings.body_memory);
@@ -130,6 +128,12 @@
         }
     }
 
+    /// Puts the target of a node into use that started with the whole fleet, so that no departure can be unknown to it.
+    pub fn release_target(&self) {
+        self.registry.lock().release();
+        self.publish_target();
+    }
+
     /// Gossips the digest of the moves that this node has; call it after a change of `board.moves`.
     pub fn publish_moves(&self) {
         let _announcing = self.announcing.lock();
--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -138,6 +138,11 @@
         confirmed
     }
 
+    /// Ends the hold without a confirmation.
+    pub fn release(&mut self) {
+        self.held = false;
+    }
+
     /// Ends the hold without a confirmation; only heartbeats from now on put a target into use. One that leaves stays
     /// known.
     pub fn release_empty(&mut self) {
--- a/src/mesh/target_check.rs
+++ b/src/mesh/target_check.rs
@@ -30,6 +30,9 @@
 /// First and longest time between two health checks; doubles with each failure.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 
+/// Longest time for which a node of a first start waits for a peer before it uses its target.
+const PEER_WAIT: Duration = Duration::from_secs(1);
+
 /// Longest body of a health check that is read, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -52,9 +55,15 @@
 
 /// Checks the target until it is confirmed or no late heartbeat is expected any more.
 ///
-/// A target that has not been confirmed by then is used from its next heartbeat on.
+/// A target that has not been confirmed by then is used from its next heartbeat on. At the first start of the whole
+/// fleet no departure can have been acknowledged, so there is no check.
 pub async fn confirm_target(context: Arc<MeshContext>) {
     let started = Instant::now();
+    if context.settings.first_start {
+        wait_for_peer(&context, started).await;
+        context.release_target();
+        return;
+    }
     let mut retry_after = RETRY_RANGE.0;
     while context.registry.lock().is_held() {
         if started.elapsed() >= LATE_HEARTBEAT_TIME {
@@ -88,6 +97,14 @@
     }
 }
 
+/// Waits until a peer has answered the first join: the announcement of the target after it spreads this node's record
+/// among the peers, which then need not read the rows of the store.
+async fn wait_for_peer(context: &MeshContext, started: Instant) {
+    while context.board.members.lock().len() < 2 && started.elapsed() < PEER_WAIT {
+        sleep(LOOK_PERIOD).await;
+    }
+}
+
 /// Returns the instance to check and the path of its health check, which is known from the configuration.
 fn target_to_check(context: &MeshContext) -> Option<(InstanceId, Uri)> {
     let instance = context.registry.lock().unconfirmed()?;
