--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -170,9 +170,8 @@
             "signal {signal} to the node beside {}",
             self.target.label
         ));
-        let sent = Command::new("kill")
-            .arg(format!("-{signal}"))
-            .arg(id.to_string())
+        let sent = Command::new("bash")
+            .args(["-c", &format!("kill -{signal} {id}")])
             .status();
         assert!(sent.is_ok_and(|status| status.success()), "signal {signal}");
     }
