--- a/review/harness/cases/dropped_hedge.rs
+++ b/review/harness/cases/dropped_hedge.rs
@@ -16,6 +16,10 @@
 /// Work of the upstreams on each request; the time limit is 1.2 s.
 const WORK: Duration = Duration::from_millis(800);
 
+/// Answers are lost for this time, as long as the site's day does, and then not for a pause, again and again.
+const TROUBLE_TIME: Duration = Duration::from_secs(4);
+const TROUBLE_PAUSE: Duration = Duration::from_secs(2);
+
 /// `attempts` of the route.
 const ATTEMPTS: usize = 2;
 
@@ -23,7 +27,7 @@
 const ALLOWED: usize = 3;
 
 /// Clients, which send requests one after the other, and the time for which they do.
-const CLIENTS: usize = 16;
+const CLIENTS: usize = 24;
 const TRAFFIC_TIME: Duration = Duration::from_secs(85);
 
 /// Of this many requests of a client, one is long.
@@ -47,6 +51,7 @@
     let quick = |_: &str, _: &str| Work::Answer(Duration::from_millis(20));
     let entry = setting.start_node(&spec("a", "yardboard"), quick);
     let mut nodes = Vec::new();
+    let started = Instant::now();
     for (index, name) in ["b", "c", "d", "e", "f", "g", "h"].into_iter().enumerate() {
         // Four of seven upstreams lose the answers of four in ten requests.
         let has_trouble = setting.has_trouble && index < 4;
@@ -55,7 +60,10 @@
                 .strip_prefix("job-")
                 .and_then(|n| n.parse().ok())
                 .unwrap_or(0);
-            match (path.ends_with("long"), has_trouble && number % 5 < 2) {
+            match (
+                path.ends_with("long"),
+                has_trouble && is_in_trouble(started) && number % 5 < 2,
+            ) {
                 (false, _) => Work::Answer(Duration::from_millis(20)),
                 (true, false) => Work::Answer(WORK),
                 (true, true) => Work::LoseAnswer(WORK),
@@ -95,6 +103,11 @@
     Ok((over > ALLOWED).then(|| format!("{over} requests ran on more than {ATTEMPTS} upstreams")))
 }
 
+fn is_in_trouble(started: Instant) -> bool {
+    let cycle = (TROUBLE_TIME + TROUBLE_PAUSE).as_secs_f64();
+    started.elapsed().as_secs_f64() % cycle < TROUBLE_TIME.as_secs_f64()
+}
+
 /// Sends requests until a time, each on a new connection.
 fn send_requests(entry: &Node, record: &Record, client: usize, until: Instant) {
     let mut number = client;
--- a/review/harness/cases/silent_store.rs
+++ b/review/harness/cases/silent_store.rs
@@ -51,13 +51,13 @@
     thread::sleep(Duration::from_secs(8));
     setting.write_config(4, &route("ledger"));
     thread::sleep(BEFORE_SILENCE);
-    let silent_at = Instant::now();
     if setting.has_trouble {
         setting
             .record
             .line("the open connections to the store go silent; new ones work");
         proxies.iter().for_each(|proxy| proxy.silence());
     }
+    let silent_at = Instant::now();
     thread::sleep(AFTER_SILENCE);
     setting.write_config(5, &route("roadeye"));
     let acked_at = Instant::now();
