Count the age of a confirmation from the read of the store

Cause: a node counted the time since a confirmation of the store from the arrival of the packet. A clock may be passed on by probes for more than a second, so the node took itself for current up to a time that it knew nothing of. This adds to every bound that starts at the last confirmation, such as that of a new configuration.

Change: packets carry the age of the clock (`age_ms`, a new optional field; an older sender counts as 0), and a node subtracts it. A read of its own confirms a node at once, whatever the store's clock says.

--- a/experiments/src/simulated_net.rs
+++ b/experiments/src/simulated_net.rs
@@ -280,6 +280,7 @@
             members: &mut node.members,
             vetoes: &mut node.vetoes,
         };
+        node.machine.set_time(now);
         let output = step(&mut node.machine, now, &mut tables);
         self.send(index, output);
     }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -353,6 +353,7 @@
         let reading = ClockReading::now(now);
         let output = {
             let mut machine = self.shared.machine.lock();
+            machine.set_time(now);
             let output = with_tables(&self.shared.board, |tables| step(&mut machine, now, tables));
             let mut confirmation = self.shared.confirmation.lock();
             confirmation.record(machine.store_confirmed_at(), reading);
--- a/src/gossip/machine.rs
+++ b/src/gossip/machine.rs
@@ -119,6 +119,8 @@
     probe: Option<ActiveProbe>,
     next_probe_at: Duration,
     last_tick: Duration,
+    /// Time of the current call, or of the last one that named it.
+    now: Duration,
     rounds: u32,
     relayed_probes: BTreeMap<u64, RelayedProbe>,
     /// When each suspect is declared dead unless it refutes.
@@ -158,6 +160,7 @@
             probe: None,
             next_probe_at: now + phase,
             last_tick: now,
+            now,
             rounds: 0,
             relayed_probes: BTreeMap::new(),
             suspicion_deadlines: HashMap::new(),
@@ -195,10 +198,16 @@
         self.queue.len()
     }
 
+    /// Sets the time for the next calls that do not name one.
+    pub fn set_time(&mut self, now: Duration) {
+        self.now = now;
+    }
+
     /// Runs the timers that are due: probe retries and the start of the next probe interval.
     pub fn tick(&mut self, now: Duration, tables: &mut GossipTables<'_>) -> MachineOutput {
         let mut output = MachineOutput::default();
         self.compensate_pause(now);
+        self.now = now;
         self.last_tick = now;
         self.refill_allowance(now);
         if self.retry_due().is_some_and(|due| due <= now) {
@@ -222,6 +231,7 @@
         if packet.sender == self.own.node {
             return output;
         }
+        self.now = now;
         self.last_received_at = now;
         self.refill_allowance(now);
         self.record_sender_version(packet, from, tables, &mut output);
--- a/src/gossip/machine/packets.rs
+++ b/src/gossip/machine/packets.rs
@@ -50,7 +50,7 @@
             config_version: self.own.applied_version,
             events: Vec::new(),
             kind: Some(kind),
-            store_view: self.store.view(),
+            store_view: self.store.view(self.now),
         };
         let mut budget = MAX_PACKET_BYTES.saturating_sub(packet.encoded_len());
         for event in first {
@@ -226,8 +226,7 @@
         output: &mut MachineOutput,
     ) {
         let digest = packet.store_view.map_or(0, |view| view.moves_digest);
-        let own_digest = self.store.view().map_or(0, |view| view.moves_digest);
-        if packet.config_version < self.own.applied_version || digest < own_digest {
+        if packet.config_version < self.own.applied_version || digest < self.store.moves_digest() {
             let answer = self.packet(GossipKind::Push(Push {}), 0, Vec::new(), tables);
             output.packets.push(OutgoingPacket {
                 address: from,
--- a/src/gossip/machine/store_view.rs
+++ b/src/gossip/machine/store_view.rs
@@ -22,16 +22,27 @@
 /// This node's view of the store, as sent in its packets.
 #[derive(Debug, Default)]
 pub(super) struct StoreViewState {
+    /// Clock and digest; `age_ms` is set for each packet.
     view: StoreView,
-    /// Local time at which the clock in `view` last advanced.
+    /// Local time to which the clock in `view` corresponds, which is that of the reader's read and not that of the
+    /// packet's arrival: a clock may spend more than a second with the members that pass it on.
     confirmed_at: Duration,
     clock_pushed_at: Option<Duration>,
 }
 
 impl StoreViewState {
-    /// Returns the view to send in packets; none on a node that has no view of the store yet.
-    pub(super) fn view(&self) -> Option<StoreView> {
-        (self.view != StoreView::default()).then_some(self.view)
+    /// Returns the view to send in a packet at `now`; none on a node that has no view of the store yet.
+    pub(super) fn view(&self, now: Duration) -> Option<StoreView> {
+        let age = now.saturating_sub(self.confirmed_at);
+        (self.view != StoreView::default()).then_some(StoreView {
+            age_ms: age.as_millis() as u64,
+            ..self.view
+        })
+    }
+
+    /// Returns the digest of the moves that this node has.
+    pub(super) fn moves_digest(&self) -> u64 {
+        self.view.moves_digest
     }
 }
 
@@ -45,8 +56,12 @@
         tables: &mut GossipTables<'_>,
     ) -> MachineOutput {
         let mut output = MachineOutput::default();
+        self.now = now;
         self.own.applied_version = self.own.applied_version.max(version);
-        self.advance_clock(clock.as_millis() as u64, now, tables, &mut output);
+        // The read itself shows that nothing was missed, whatever the store's clock says.
+        self.store.confirmed_at = now;
+        let clock_ms = clock.as_millis() as u64;
+        self.advance_clock(clock_ms, now, now, tables, &mut output);
         output
     }
 
@@ -63,7 +78,7 @@
         self.push(tables)
     }
 
-    /// Returns when this node last got a newer store clock and so was known to be current.
+    /// Returns the time up to which this node is known to have missed no change of the store.
     pub fn store_confirmed_at(&self) -> Duration {
         self.store.confirmed_at
     }
@@ -88,13 +103,15 @@
                 digest: view.moves_digest,
             });
         } else if packet.config_version <= self.own.applied_version {
-            self.advance_clock(view.clock_ms, now, tables, output);
+            let confirmed_at = now.saturating_sub(Duration::from_millis(view.age_ms));
+            self.advance_clock(view.clock_ms, confirmed_at, now, tables, output);
         }
     }
 
     fn advance_clock(
         &mut self,
         clock_ms: u64,
+        confirmed_at: Duration,
         now: Duration,
         tables: &GossipTables<'_>,
         output: &mut MachineOutput,
@@ -103,7 +120,7 @@
             return;
         }
         self.store.view.clock_ms = clock_ms;
-        self.store.confirmed_at = now;
+        self.store.confirmed_at = self.store.confirmed_at.max(confirmed_at);
         let pushed_at = self.store.clock_pushed_at;
         if pushed_at.is_some_and(|at| now < at + CLOCK_PUSH_GAP) {
             return;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -49,6 +49,10 @@
     /// the store; grows with each new revision.
     #[prost(uint64, tag = "2")]
     pub moves_digest: u64,
+    /// Time in milliseconds that has passed since `clock_ms` when the packet is sent; 0 from a sender that does not
+    /// report it.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// Purpose of a gossip packet.
--- a/tests/gossip_store.rs
+++ b/tests/gossip_store.rs
@@ -111,6 +111,23 @@
     assert!(informed.count() > MEMBERS / 2);
 }
 
+/// Guards against a member that counts the age of a confirmation from its arrival: it may have been passed on for more
+/// than a second, in which the operator has made a change.
+#[test]
+fn the_age_of_a_confirmation_counts_from_the_read() {
+    let mut net = network();
+    let read_at = net.now;
+    read_store(&mut net, 7);
+
+    net.run_rounds(3);
+
+    let latest = net.nodes.iter();
+    let latest = latest.map(|node| node.machine.store_confirmed_at()).max();
+    // Ages are sent in whole milliseconds, and a datagram takes up to one.
+    let late_by = latest.expect("members").saturating_sub(read_at);
+    assert!(late_by < Duration::from_millis(50), "{late_by:?}");
+}
+
 /// Guards against a member that does not announce new moves (rollouts of a service version) to others.
 #[test]
 fn a_higher_moves_digest_reaches_other_members_within_a_round() {
