Read the store within the convergence bound, whichever machines are cut off

Cause: a node that is no reader read the store 2.2 s after the last confirmation, and 0.1 s later for each rank, up to 10.2 s. The waits were never added up against the bound.

A read that does not wait opens a connection of its own, and a long poll is abandoned when the confirmation is overdue. A node that is refused and is no reader asks again after 2.4 s.

--- a/src/mesh/node_rank.rs
+++ b/src/mesh/node_rank.rs
@@ -8,6 +8,15 @@
     xxhash_rust::xxh3::Xxh3,
 };
 
+/// Place of a failure domain among those with live nodes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DomainPlace {
+    /// Rank of the domain; 0 is first.
+    pub rank: usize,
+    /// Number of domains with live nodes.
+    pub domains: usize,
+}
+
 /// Returns the rank of this node among the live nodes that `accept` admits; 0 is first.
 ///
 /// The ranking depends on the duty, so that the duties are spread over the nodes.
@@ -26,8 +35,8 @@
     before.count()
 }
 
-/// Returns the rank of a failure domain among those with live nodes; 0 is first.
-pub fn domain_rank(context: &MeshContext, duty: &str, domain: &str) -> usize {
+/// Returns the place of a failure domain among those with live nodes.
+pub fn domain_rank(context: &MeshContext, duty: &str, domain: &str) -> DomainPlace {
     let members = context.board.members.lock();
     let live = members
         .iter()
@@ -35,9 +44,12 @@
     let domains: BTreeSet<&str> = live.map(|record| record.domain.as_str()).collect();
     let own_weight = (weight(duty, domain), domain);
     let before = domains
-        .into_iter()
-        .filter(|other| (weight(duty, other), *other) < own_weight);
-    before.count()
+        .iter()
+        .filter(|other| (weight(duty, other), **other) < own_weight);
+    DomainPlace {
+        rank: before.count(),
+        domains: domains.len(),
+    }
 }
 
 fn weight(duty: &str, name: &str) -> u64 {
--- a/src/mesh/port.rs
+++ b/src/mesh/port.rs
@@ -154,7 +154,8 @@
 /// Requests to the store.
 #[derive(Clone)]
 pub struct PlatformPort {
-    /// Returns the operator's rows written after a position; waits for one for at most the time given.
+    /// Returns the operator's rows written after a position; waits for one for at most the time given. A request that
+    /// does not wait uses no connection that was open before, since that may have gone silent.
     pub follow_orders: Arc<dyn Fn(FeedPosition, Duration) -> PortFuture<OrderBatch> + Send + Sync>,
     /// Returns the move records written after a position; waits for one for at most the time given.
     pub follow_moves: Arc<dyn Fn(FeedPosition, Duration) -> PortFuture<MoveBatch> + Send + Sync>,
--- a/src/mesh/store_feed.rs
+++ b/src/mesh/store_feed.rs
@@ -6,7 +6,9 @@
         context::MeshContext,
         move_driver::watcher_rank,
         port::{FeedPosition, MoveBatch, OrderBatch, PlatformPort, PortError},
-        store_reader::{LONG_POLL_TIME, ReadSchedule, is_reader},
+        store_reader::{
+            FOLLOWER_RETRY_PERIOD, READER_CHECK_PERIOD, ReadSchedule, is_overdue, is_reader,
+        },
     },
     crate::apply_gate::{ApplyError, ConfigSource},
     parking_lot::Mutex,
@@ -18,6 +20,9 @@
     tracing::{info, warn},
 };
 
+/// Time for which a request for records of moves waits for a change (long poll).
+const MOVES_POLL_TIME: Duration = Duration::from_millis(2000);
+
 /// First and longest time to wait after a failed request; doubles with each failure in a row.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
@@ -29,9 +34,6 @@
 /// version that has taken over.
 const START_TIME: Duration = Duration::from_secs(2);
 
-/// Time between two checks whether this node has to read the store.
-const READER_CHECK_PERIOD: Duration = Duration::from_millis(100);
-
 /// Estimate of the store's monotonic clock, from its last answer.
 #[derive(Debug, Default)]
 pub struct StoreClock {
@@ -79,8 +81,23 @@
         }
     }
 
+    /// Waits after a failed request of a node that retries until it succeeds.
     async fn back_off(&mut self, error: &PortError) {
-        // The node goes on with the last state that it has read, and its callers retry after the delay below.
+        let delay = self.record_failure(error);
+        sleep(delay).await;
+    }
+
+    /// Waits after a failed read of a node that is not a reader. The first failure may be of a single connection.
+    async fn back_off_follower(&mut self, error: &PortError, read_began: Instant) {
+        let is_first = self.failures == 0;
+        let delay = self.record_failure(error);
+        let next_read = FOLLOWER_RETRY_PERIOD.saturating_sub(read_began.elapsed());
+        sleep(if is_first { delay } else { next_read }).await;
+    }
+
+    /// Counts and logs a failed request; returns the time until the next one.
+    fn record_failure(&mut self, error: &PortError) -> Duration {
+        // The node goes on with the last state that it has read.
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             warn!(dependency = "store", table = self.table, %error, "dependency lost");
@@ -88,7 +105,7 @@
         let (first, longest) = BACKOFF_RANGE;
         let delay = first.saturating_mul(1 << self.failures.min(6)).min(longest);
         self.failures += 1;
-        sleep(delay.mul_f64(0.75 + rand::random::<f64>() / 2.0)).await;
+        delay.mul_f64(0.75 + rand::random::<f64>() / 2.0)
     }
 }
 
@@ -100,11 +117,20 @@
     let schedule = ReadSchedule::new(context.settings.first_start);
     let mut has_read = false;
     loop {
-        let Some(wait) = schedule.next_wait(&context, has_read) else {
+        let Some(wait) = schedule.next_wait(&context, has_read, clock.now()) else {
             sleep(READER_CHECK_PERIOD).await;
             continue;
         };
-        match (port.follow_orders)(position, wait).await {
+        let read_began = Instant::now();
+        let read = (port.follow_orders)(position, wait);
+        let result = tokio::select! {
+            result = read => result,
+            () = until_overdue(&context), if !wait.is_zero() => {
+                info!(dependency = "store", "long poll abandoned: no confirmation in time");
+                continue;
+            }
+        };
+        match result {
             Ok(batch) => {
                 backoff.record_success();
                 clock.set(batch.clock);
@@ -121,11 +147,20 @@
                 );
                 position = 0;
             }
-            Err(error) => backoff.back_off(&error).await,
+            Err(error) if is_reader(&context) => backoff.back_off(&error).await,
+            Err(error) => backoff.back_off_follower(&error, read_began).await,
         }
     }
 }
 
+/// Waits until this node has to read the store at once. The connection of a long poll may have gone silent, which
+/// would show only at the time limit of the request.
+async fn until_overdue(context: &MeshContext) {
+    while !is_overdue(context) {
+        sleep(READER_CHECK_PERIOD).await;
+    }
+}
+
 fn apply_orders(context: &MeshContext, batch: OrderBatch) {
     if let Some(config) = batch.config {
         let version = config.version;
@@ -182,7 +217,7 @@
             sleep(READER_CHECK_PERIOD).await;
             continue;
         }
-        match (port.follow_moves)(position, LONG_POLL_TIME).await {
+        match (port.follow_moves)(position, MOVES_POLL_TIME).await {
             Ok(batch) => {
                 backoff.record_success();
                 clock.set(batch.clock);
