Take a call during a shutdown only if it ends before the process exits

Cause: whether a call was taken depended on the time since the signal alone and not on the time at which the call may end. Calls that waited for a slot when the signal came, and forwarded ones, were treated in the same way.

Change: one rule in `src/mesh/shutdown.rs` for calls taken, waiting, forwarded, retried and hedged: the deadline comes 0.1 s before the exit at the latest. Any other call is refused at once with 503 and `Retry-After` as not run, or with 502 if an earlier attempt may have run it. A call whose body the target's node has not asked for yet is withdrawn. A grace period shorter than the exit margin no longer panics.

--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -31,6 +31,7 @@
 pub mod registry;
 pub mod retry_share;
 pub mod settings;
+pub mod shutdown;
 pub mod split;
 pub mod startup_wait;
 pub mod store_feed;
--- a/src/mesh/attempt.rs
+++ b/src/mesh/attempt.rs
@@ -26,7 +26,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::timeout_at,
+    tokio::time::{sleep_until, timeout_at},
 };
 
 /// `Retry-After` when the node beside the target could not be reached.
@@ -184,13 +184,15 @@
     tokio::pin!(exchange);
     if let Some(gate) = &gate {
         let admission_deadline = (started + metadata.finish_within + ADMISSION_SLACK).min(deadline);
-        match timeout_at(admission_deadline.into(), &mut exchange).await {
-            Ok(result) => return not_run_if_body_unsent(result, Some(gate)),
-            Err(_) if gate.close_unless_released() => {
-                let refusal = MeshRefusal::not_run("node-silent", UNREACHABLE_RETRY_AFTER);
-                return (Err(refusal), None);
+        let abandoned = tokio::select! {
+            result = &mut exchange => return not_run_if_body_unsent(result, Some(gate)),
+            () = sleep_until(admission_deadline.into()) => {
+                MeshRefusal::not_run("node-silent", UNREACHABLE_RETRY_AFTER)
             }
-            Err(_) => {}
+            () = context.shutdown.refuses_waiting(call.deadline) => MeshRefusal::stopping(),
+        };
+        if gate.close_unless_released() {
+            return (Err(abandoned), None);
         }
     }
     match timeout_at(deadline.into(), &mut exchange).await {
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -8,17 +8,14 @@
         admission::AdmissionQueue, caller_deadline::CallerDeadlines,
         exposure_limit::ExposureLimits, held_bytes::HeldBytes, hop::HopClient,
         registry::TargetRegistry, retry_share::RetryShares, settings::MeshSettings,
-        split::RouteSplits, target_selection::TargetTracker,
+        shutdown::Shutdown, split::RouteSplits, target_selection::TargetTracker,
     },
     crate::{
         blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode,
         node_metrics::NodeMetrics, target_client::TargetClient,
     },
     parking_lot::Mutex,
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    std::{sync::Arc, time::Instant},
 };
 
 /// Connections to the target beside this node until the configuration sets their number.
@@ -57,9 +54,8 @@
     pub caller_deadlines: Mutex<CallerDeadlines>,
     /// Rate limit of the log lines about single calls.
     pub call_log_limiter: LogRateLimiter,
-    leaving: AtomicBool,
-    /// Whether the node takes no further calls because it stops soon.
-    closing: AtomicBool,
+    /// Shutdown of the node, and which calls are taken meanwhile.
+    pub shutdown: Shutdown,
     /// Held from the reading of a state until it is announced: of two changes at the same time, the newer state must
     /// be announced last.
     announcing: Mutex<()>,
@@ -95,8 +91,7 @@
             splits: Mutex::default(),
             caller_deadlines: Mutex::default(),
             call_log_limiter: LogRateLimiter::default(),
-            leaving: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
+            shutdown: Shutdown::default(),
             announcing: Mutex::default(),
         }
     }
@@ -141,24 +136,15 @@
         self.gossip.set_moves_digest(digest);
     }
 
-    /// Marks the node as leaving and gossips its target as draining.
+    /// Begins the shutdown of the node and gossips its target as draining.
     pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+        self.shutdown
+            .begin(Instant::now(), self.settings.bounds.grace);
         self.publish_target();
     }
 
-    /// Refuses all calls from now on; those in progress go on.
-    pub fn close(&self) {
-        self.closing.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether calls are refused because the node stops soon.
-    pub fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
-    }
-
     /// Returns whether the node is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.shutdown.has_begun()
     }
 }
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -146,9 +146,6 @@
     started: Instant,
     call_id: String,
 ) -> Result<EntryCall, MeshRefusal> {
-    if context.is_closing() {
-        return Err(MeshRefusal::stopping());
-    }
     if !wait_for_config(context).await {
         return Err(MeshRefusal::not_run(
             "no-configuration",
@@ -169,6 +166,9 @@
             .waited_before(&route.name, timeout)
     });
     let deadline = started + allowed.saturating_sub(DEADLINE_MARGIN);
+    if !context.shutdown.admits(deadline) {
+        return Err(MeshRefusal::stopping());
+    }
     let limit = config.intake().map_or(MAX_REQUEST_BYTES, |limits| {
         MAX_REQUEST_BYTES.min(limits.body_bytes as usize)
     });
@@ -261,7 +261,7 @@
     let mut history = AttemptHistory::default();
     context.budgets.lock().earn(&call.service, Instant::now());
     let mut first_target =
-        wait_for_target(call, || choose_target(context, call, &mut history)).await;
+        wait_for_target(context, call, || choose_target(context, call, &mut history)).await;
     loop {
         let chosen = first_target
             .take()
@@ -269,6 +269,10 @@
         let Some(target) = chosen else {
             return final_result(call, history);
         };
+        if !context.shutdown.can_end(call.deadline) {
+            history.refusal = Some(MeshRefusal::stopping());
+            return final_result(call, history);
+        }
         history.attempts += 1;
         let ended = attempt_hedged(context, call, &target, &mut history).await;
         match ended {
@@ -491,6 +495,9 @@
     slow_target: &TargetEndpoint,
     history: &AttemptHistory,
 ) -> Option<TargetEndpoint> {
+    if !context.shutdown.can_end(call.deadline) {
+        return None;
+    }
     let mut excluded = AttemptHistory {
         tried: history.tried.clone(),
         full: history.full.clone(),
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -12,6 +12,7 @@
         refusal::WholeBody,
         registry::{ReportOutcome, TargetReport},
         settings::MeshSettings,
+        shutdown::serve_time,
         store_feed::{StoreClock, follow_moves, follow_orders},
         target::answer_hop,
         target_check::confirm_target,
@@ -50,13 +51,6 @@
 /// Time after the start by which a node knows the size of its fleet, also if all nodes were restarted with it.
 const FLEET_KNOWN_AFTER: Duration = Duration::from_millis(2500);
 
-/// Fraction of the grace period for which a stopping node still accepts calls. Within this time, callers notice by
-/// failed readiness checks that the node leaves.
-const SERVE_FRACTION: f64 = 0.42;
-
-/// Time before the end of the grace period at which a stopping node exits even if connections are still open.
-const EXIT_MARGIN: Duration = Duration::from_millis(600);
-
 /// Error that keeps a node from starting or ends it.
 #[derive(Debug, Error)]
 pub enum MeshNodeError {
@@ -459,26 +453,25 @@
     });
     let stopping = async {
         stop.cancelled().await;
-        let stopped_at = Instant::now();
         info!(node = context.settings.node.id, "node is stopping");
         context.leave();
-        let grace = context.settings.bounds.grace;
+        let serve_time = serve_time(context.settings.bounds.grace);
         let leave = async {
             context.gossip.leave().await;
-            sleep(grace.mul_f64(SERVE_FRACTION)).await;
+            sleep(serve_time).await;
         };
         let removal = (port.remove_peer)(context.settings.node.id.clone());
-        let (_, removed) = tokio::join!(leave, timeout(grace.mul_f64(SERVE_FRACTION), removal));
+        let (_, removed) = tokio::join!(leave, timeout(serve_time, removal));
         if !matches!(removed, Ok(Ok(()))) {
             info!(
                 dependency = "store",
                 "row of this node not removed from the store; other nodes will try its address, with backoff"
             );
         }
-        context.close();
+        context.shutdown.close();
         server_stop.close.cancel();
         server_stop.connections.close();
-        let left = (grace - EXIT_MARGIN).saturating_sub(stopped_at.elapsed());
+        let left = context.shutdown.time_left().unwrap_or_default();
         if timeout(left, server_stop.connections.wait()).await.is_err() {
             let open = server_stop.connections.len();
             info!(
--- a/src/mesh/startup_wait.rs
+++ b/src/mesh/startup_wait.rs
@@ -27,15 +27,16 @@
     matches!(waited, Ok(Ok(_)))
 }
 
-/// Calls `select` until it returns a target or the call has waited long enough.
+/// Calls `select` until it returns a target, the call has waited long enough, or it can't end before the node exits.
 pub async fn wait_for_target<T>(
+    context: &MeshContext,
     call: &EntryCall,
     mut select: impl FnMut() -> Option<T>,
 ) -> Option<T> {
     let until = Instant::now() + call.route.latency_objective.mul_f64(TARGET_WAIT_FRACTION);
     loop {
         let found = select();
-        if found.is_some() || Instant::now() >= until {
+        if found.is_some() || Instant::now() >= until || !context.shutdown.can_end(call.deadline) {
             return found;
         }
         sleep(TARGET_POLL_PERIOD).await;
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -60,13 +60,13 @@
     context: Arc<MeshContext>,
     request: Request<Incoming>,
 ) -> Response<WholeBody> {
-    if context.is_closing() {
-        return MeshRefusal::stopping().hop_answer();
-    }
     let (head, body) = request.into_parts();
     let Some(metadata) = HopMetadata::parse(&head.headers) else {
         return MeshRefusal::rejected(StatusCode::BAD_REQUEST, "invalid-hop").hop_answer();
     };
+    if !context.shutdown.admits(Instant::now() + metadata.left) {
+        return MeshRefusal::stopping().hop_answer();
+    }
     let result = run_at_target(&context, &metadata, &head, CallBody::Streaming(body)).await;
     let mut response = result.unwrap_or_else(|refusal| refusal.hop_answer());
     let load = context.queue.load_for(&metadata.route);
@@ -90,23 +90,27 @@
         deadline,
         finish_within: metadata.finish_within,
     };
-    let permit = context
-        .queue
-        .acquire(slot_request)
-        .await
-        .map_err(|refusal| {
-            let wait = context.queue.load().expected_wait();
-            match refusal {
-                AdmissionRefusal::Full => MeshRefusal::not_run("full", wait),
-                AdmissionRefusal::Closed => target_leaving(),
-            }
-        })?;
+    let admitted = tokio::select! {
+        biased;
+        () = context.shutdown.refuses_waiting(deadline) => return Err(MeshRefusal::stopping()),
+        admitted = context.queue.acquire(slot_request) => admitted,
+    };
+    let permit = admitted.map_err(|refusal| {
+        let wait = context.queue.load().expected_wait();
+        match refusal {
+            AdmissionRefusal::Full => MeshRefusal::not_run("full", wait),
+            AdmissionRefusal::Closed => target_leaving(),
+        }
+    })?;
     // The target may have left or been replaced at its address while the call was waiting.
     let instance = current_instance(context, metadata)?;
     let content = match body {
         CallBody::Whole(content) => content,
         CallBody::Streaming(body) => read_body(context, body, deadline, &permit.withdrawn).await?,
     };
+    if !context.shutdown.can_end(deadline) {
+        return Err(MeshRefusal::stopping());
+    }
     let request = target_request(context, metadata, head, content, &instance, deadline);
     let started = Instant::now();
     let result = exchange(context, metadata, request, deadline, &permit).await;
