Finish the calls of a node whose required task has ended

Cause: when a required task of a node ended, such as the one that follows the store, `run_mesh_node` returned at once. The process exited and cut all calls in progress, without an answer.

Change: the end of a required task begins the shutdown that a signal begins, so that the rule of `mesh::shutdown` holds for its calls; the node then ends with the error as before.

Result: `a_node_whose_task_has_ended_finishes_its_calls` fails before ("the node ended before its call") and passes after.

--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -32,6 +32,7 @@
         future::Future,
         io,
         net::SocketAddr,
+        pin::pin,
         sync::Arc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
@@ -107,7 +108,8 @@
     Leave(String),
 }
 
-/// Runs a node until `stop` is cancelled and its calls in progress have ended or the grace period is over.
+/// Runs a node until `stop` is cancelled, or a required task has ended, and then until its calls in progress have ended
+/// or the grace period is over.
 pub async fn run_mesh_node(
     settings: MeshSettings,
     port: PlatformPort,
@@ -147,12 +149,15 @@
         service = %context.settings.service,
         "node started"
     );
-    let calls = serve_calls(&context, &port, sockets.calls, sockets.hops, stop);
+    let calls = serve_calls(&context, &port, sockets.calls, sockets.hops, stop.clone());
+    let mut calls = pin!(calls);
     let ended = tokio::select! {
-        () = calls => Ok(()),
+        () = &mut calls => Ok(()),
         Some(ended) = tasks.join_next() => {
             let name = ended.unwrap_or("(panicked)");
             error!(task = name, "a required task ended; stopping the node");
+            stop.cancel();
+            calls.await;
             Err(MeshNodeError::TaskEnded(name))
         }
     };
