Count the age of a confirmation from before a late answer of the store

Cause: a reader took the store's answer for as young as its arrival. An answer that was on its way for a second, over a link that loses packets, made all nodes that hear of it by gossip count as current for a second longer, which the sum of the waits in `mesh::store_reader` does not allow for.

Change: the age of a read is the time since its request less the wait (long poll) that it asked for, since the store has answered by the end of that wait.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -176,11 +176,12 @@
         self.run_step(|machine, _, tables| machine.push(tables));
     }
 
-    /// Records that this node has read the platform store up to the store's time `clock`.
-    pub fn confirm_store_read(&self, clock: Duration) {
+    /// Records that this node has read the platform store up to the store's time `clock`, which was `age` ago.
+    pub fn confirm_store_read(&self, clock: Duration, age: Duration) {
         let version = self.shared.board.gate.version();
         self.run_step(|machine, now, tables| {
-            machine.confirm_store_read(clock, version, now, tables)
+            let read_at = now.saturating_sub(age);
+            machine.confirm_store_read(clock, read_at, version, now, tables)
         });
     }
 
--- a/src/gossip/machine/store_view.rs
+++ b/src/gossip/machine/store_view.rs
@@ -47,10 +47,12 @@
 }
 
 impl GossipMachine {
-    /// Records that this node has read the store up to the store's time `clock` and has applied `version`.
+    /// Records that this node has read the store up to the store's time `clock`, which corresponds to the local time
+    /// `read_at`, and has applied `version`.
     pub fn confirm_store_read(
         &mut self,
         clock: Duration,
+        read_at: Duration,
         version: ConfigVersion,
         now: Duration,
         tables: &mut GossipTables<'_>,
@@ -59,9 +61,9 @@
         self.now = now;
         self.own.applied_version = self.own.applied_version.max(version);
         // The read itself shows that nothing was missed, whatever the store's clock says.
-        self.store.confirmed_at = now;
+        self.store.confirmed_at = self.store.confirmed_at.max(read_at);
         let clock_ms = clock.as_millis() as u64;
-        self.advance_clock(clock_ms, now, now, tables, &mut output);
+        self.advance_clock(clock_ms, read_at, now, tables, &mut output);
         output
     }
 
--- a/src/mesh/store_feed.rs
+++ b/src/mesh/store_feed.rs
@@ -138,7 +138,9 @@
                 has_read = true;
                 let store_clock = batch.clock;
                 apply_orders(&context, batch);
-                context.gossip.confirm_store_read(store_clock);
+                // The store has answered before the end of the wait; what came later was on its way for as long.
+                let age = read_began.elapsed().saturating_sub(wait);
+                context.gossip.confirm_store_read(store_clock, age);
             }
             Err(PortError::HistoryGone { .. }) => {
                 info!(
--- a/tests/gossip_store.rs
+++ b/tests/gossip_store.rs
@@ -29,9 +29,15 @@
 }
 
 fn read_store(net: &mut SimulatedNet, reader: usize) {
-    let (clock, version) = (net.now, net.nodes[reader].version);
+    receive_answer(net, reader, Duration::ZERO);
+}
+
+/// Lets a member receive an answer of the store that was on its way for some time.
+fn receive_answer(net: &mut SimulatedNet, reader: usize, age: Duration) {
+    let read_at = net.now - age;
+    let version = net.nodes[reader].version;
     net.act(reader, |machine, now, tables| {
-        machine.confirm_store_read(clock, version, now, tables)
+        machine.confirm_store_read(read_at, read_at, version, now, tables)
     });
 }
 
@@ -107,12 +113,13 @@
 }
 
 /// Guards against a member that counts the age of a confirmation from its arrival: it may have been passed on for more
-/// than a second, in which the operator has made a change.
+/// than a second, or the store's answer may have been late, and meanwhile the operator has made a change.
 #[test]
 fn the_age_of_a_confirmation_counts_from_the_read() {
     let mut net = network();
-    let read_at = net.now;
-    read_store(&mut net, 7);
+    let age = Duration::from_millis(800);
+    let read_at = net.now - age;
+    receive_answer(&mut net, 7, age);
 
     net.run_rounds(3);
 
