Check for an overdue confirmation only when it can be due

Cause: since the waits were shortened, each node looked every 50 ms whether it has to read the store, and the records of moves as well.

Change: a node sleeps until the confirmation can be overdue, 200 ms at most, and then looks every 50 ms; records of moves are looked for every 100 ms as before. The sum of the waits is the same. The registry says which waits count against drainS (none).

--- a/src/mesh/registry.rs
+++ b/src/mesh/registry.rs
@@ -2,6 +2,14 @@
 //!
 //! Heartbeats may arrive late, repeatedly or from an earlier start of the target. A report is accepted only if it is
 //! newer than all reports accepted before.
+//!
+//! # Time until a leaving target gets no call
+//!
+//! A departure must hold `drainS` after its acknowledgement, 2 s at the least. No wait of a node adds up against that:
+//! the queue of the target is closed before the acknowledgement is sent, which refuses the calls that wait for a slot and
+//! withdraws those that wait for their body or a connection. Other nodes may go on to choose the target until gossip has
+//! told them; all their calls pass through this node, which refuses them. So no machine that is cut off matters. After a
+//! restart of the node, the target is held until a health check confirms it, for `LATE_HEARTBEAT_TIME` at most.
 
 use {
     crate::{
--- a/src/mesh/store_feed.rs
+++ b/src/mesh/store_feed.rs
@@ -6,9 +6,7 @@
         context::MeshContext,
         move_driver::watcher_rank,
         port::{FeedPosition, MoveBatch, OrderBatch, PlatformPort, PortError},
-        store_reader::{
-            FOLLOWER_RETRY_PERIOD, READER_CHECK_PERIOD, ReadSchedule, is_overdue, is_reader,
-        },
+        store_reader::{FOLLOWER_RETRY_PERIOD, ReadSchedule, check_delay, is_overdue, is_reader},
     },
     crate::apply_gate::{ApplyError, ConfigSource},
     parking_lot::Mutex,
@@ -23,6 +21,9 @@
 /// Time for which a request for records of moves waits for a change (long poll).
 const MOVES_POLL_TIME: Duration = Duration::from_millis(2000);
 
+/// Time between two checks whether this node has to follow the records of moves.
+const MOVES_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// First and longest time to wait after a failed request; doubles with each failure in a row.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
@@ -118,7 +119,7 @@
     let mut has_read = false;
     loop {
         let Some(wait) = schedule.next_wait(&context, has_read, clock.now()) else {
-            sleep(READER_CHECK_PERIOD).await;
+            sleep(check_delay(&context)).await;
             continue;
         };
         let read_began = Instant::now();
@@ -159,7 +160,7 @@
 /// would show only at the time limit of the request.
 async fn until_overdue(context: &MeshContext) {
     while !is_overdue(context) {
-        sleep(READER_CHECK_PERIOD).await;
+        sleep(check_delay(context)).await;
     }
 }
 
@@ -216,7 +217,7 @@
             false => RECORD_FROM_PEERS_TIME,
         };
         if !should_follow_moves(&context, &mut missing, patience) {
-            sleep(READER_CHECK_PERIOD).await;
+            sleep(MOVES_CHECK_PERIOD).await;
             continue;
         }
         match (port.follow_moves)(position, MOVES_POLL_TIME).await {
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -51,9 +51,12 @@
 /// Longest additional time, whatever the rank.
 pub const MAX_OVERDUE_DELAY: Duration = Duration::from_millis(250);
 
-/// Time between two checks whether this node has to read the store.
+/// Time between two checks whether this node has to read the store, once its confirmation is overdue.
 pub const READER_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
+/// Longest time between two checks before that: a node that has become a reader begins to read within it.
+const IDLE_CHECK_PERIOD: Duration = Duration::from_millis(200);
+
 /// Time from the beginning of a failed read until the next one of a node that is not a reader, from the second failure
 /// in a row on. A store that is away is asked by every node, since none can know that the others are refused as well.
 pub const FOLLOWER_RETRY_PERIOD: Duration = Duration::from_millis(2400);
@@ -184,6 +187,14 @@
     age >= overdue_after(own_rank(context, READ_DUTY, |_| true))
 }
 
+/// Returns the time until the next check whether this node has to read the store.
+pub fn check_delay(context: &MeshContext) -> Duration {
+    let age = context.gossip.time_since_store_confirmation();
+    OVERDUE_AFTER
+        .saturating_sub(age)
+        .clamp(READER_CHECK_PERIOD, IDLE_CHECK_PERIOD)
+}
+
 /// Returns the time without a confirmation after which the node with this rank in the fleet reads the store.
 pub fn overdue_after(rank: usize) -> Duration {
     let rank = u32::try_from(rank).unwrap_or(u32::MAX);
