Adopt a store clock that came with a newer configuration once that is applied

Cause: since nodes read the store 1.4 s after the last read that they know of, fleets that take longer than that to pull a configuration read the store from many nodes: a node can take a confirmation only if it has the configuration of its sender, and while configurations follow one another it hardly ever has when the packet arrives.

Change: a node keeps such a confirmation and adopts it when it applies the configuration. At a first start, a node that has its configuration from a peer waits for the confirmation of the first read, for as long as that read may take.

--- a/src/gossip/machine.rs
+++ b/src/gossip/machine.rs
@@ -253,7 +253,9 @@
     ) -> MachineOutput {
         self.own.applied_version = self.own.applied_version.max(version);
         tables.members.raise_floor(&self.own.node, version);
-        self.push(tables)
+        let mut output = self.push(tables);
+        self.adopt_pending_clock(tables, &mut output);
+        output
     }
 
     /// Pushes the applied version and queued events to `push_fanout` random members.
--- a/src/gossip/machine/store_view.rs
+++ b/src/gossip/machine/store_view.rs
@@ -27,9 +27,28 @@
     /// Local time to which the clock in `view` corresponds, which is that of the reader's read and not that of the
     /// packet's arrival: a clock may spend more than a second with the members that pass it on.
     confirmed_at: Duration,
+    /// Clock of a member with a configuration that this node lacks so far.
+    pending: Option<PendingClock>,
     clock_pushed_at: Option<Duration>,
 }
 
+/// Clock of a member with a newer configuration; it holds for this node once that configuration is applied.
+#[derive(Clone, Copy, Debug)]
+struct PendingClock {
+    version: ConfigVersion,
+    moves_digest: u64,
+    clock_ms: u64,
+    confirmed_at: Duration,
+}
+
+impl PendingClock {
+    /// Returns whether `other` is a newer clock for the same configuration. A clock for a later configuration does not
+    /// replace this one: configurations may follow one another faster than they are pulled.
+    fn is_older(&self, other: &Self) -> bool {
+        self.version == other.version && self.clock_ms < other.clock_ms
+    }
+}
+
 impl StoreViewState {
     /// Returns the view to send in a packet at `now`; none on a node that has no view of the store yet.
     pub(super) fn view(&self, now: Duration) -> Option<StoreView> {
@@ -87,7 +106,9 @@
 
     /// Requests the sender's moves if its digest is higher, else adopts its store clock.
     ///
-    /// The clock is adopted only if this node also has the sender's configuration version or a later one.
+    /// The clock is adopted only if this node also has the sender's configuration version or a later one. Otherwise it is
+    /// kept until then: while configurations follow one another quickly, this node has hardly ever the newest one when a
+    /// packet arrives.
     pub(super) fn apply_store_view(
         &mut self,
         packet: &GossipPacket,
@@ -104,9 +125,38 @@
                 address: from,
                 digest: view.moves_digest,
             });
-        } else if packet.config_version <= self.own.applied_version {
-            let confirmed_at = now.saturating_sub(Duration::from_millis(view.age_ms));
-            self.advance_clock(view.clock_ms, confirmed_at, now, tables, output);
+            return;
+        }
+        let clock = PendingClock {
+            version: packet.config_version,
+            moves_digest: view.moves_digest,
+            clock_ms: view.clock_ms,
+            confirmed_at: now.saturating_sub(Duration::from_millis(view.age_ms)),
+        };
+        if clock.version <= self.own.applied_version {
+            self.advance_clock(clock.clock_ms, clock.confirmed_at, now, tables, output);
+        } else if self
+            .store
+            .pending
+            .is_none_or(|pending| pending.is_older(&clock))
+        {
+            self.store.pending = Some(clock);
+        }
+    }
+
+    /// Adopts the clock of a member whose configuration this node has applied meanwhile.
+    pub(super) fn adopt_pending_clock(
+        &mut self,
+        tables: &GossipTables<'_>,
+        output: &mut MachineOutput,
+    ) {
+        let is_held = |pending: &PendingClock| {
+            pending.version <= self.own.applied_version
+                && pending.moves_digest <= self.store.view.moves_digest
+        };
+        if let Some(pending) = self.store.pending.take_if(|pending| is_held(pending)) {
+            let now = self.now;
+            self.advance_clock(pending.clock_ms, pending.confirmed_at, now, tables, output);
         }
     }
 
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -124,7 +124,9 @@
                 return (age >= self.first_read_after).then_some(Duration::ZERO);
             }
         }
-        if is_overdue(context) {
+        // At a first start, the confirmation of the first read is awaited for as long as that read may take.
+        let awaits_first_read = !has_read && age < FIRST_READ_RANGE.1;
+        if !awaits_first_read && is_overdue(context) {
             return Some(Duration::ZERO);
         }
         if age < READER_DELAY && context.board.gate.version() > 0 {
--- a/tests/gossip_store.rs
+++ b/tests/gossip_store.rs
@@ -10,8 +10,11 @@
 mod simulated_net;
 
 use {
-    poplarwing::mesh::store_reader::{CONFIRMATION_INTERVAL, OVERDUE_AFTER},
-    simulated_net::{SimulatedNet, SimulatedNode, section},
+    poplarwing::{
+        mesh::store_reader::{CONFIRMATION_INTERVAL, OVERDUE_AFTER},
+        wire::{GossipKind, GossipPacket, PROTOCOL_VERSION, Push, StoreView},
+    },
+    simulated_net::{SimulatedNet, SimulatedNode, address_of, name_of, section},
     std::time::Duration,
 };
 
@@ -130,6 +133,43 @@
     assert!(late_by < Duration::from_millis(50), "{late_by:?}");
 }
 
+/// Guards against members that read the store because they never have the newest configuration when a confirmation
+/// arrives: one that came with a configuration holds once that configuration is applied.
+#[test]
+fn a_store_clock_that_came_with_a_newer_configuration_is_adopted_with_it() {
+    let mut net = network();
+    let age = Duration::from_millis(100);
+    let read_at = net.now - age;
+    for (clock_ms, version) in [(1_000, 2), (1_050, 3)] {
+        let packet = push_packet(clock_ms, version, age);
+        net.act(3, |machine, now, tables| {
+            machine.handle_packet(&packet, address_of(7), now, tables)
+        });
+    }
+    let before = net.nodes[3].machine.store_confirmed_at();
+
+    net.apply(3, 2);
+
+    assert_eq!(before, Duration::ZERO);
+    assert_eq!(net.nodes[3].machine.store_confirmed_at(), read_at);
+}
+
+/// Returns a packet of a member with a configuration version and a store clock of some age.
+fn push_packet(clock_ms: u64, version: u64, age: Duration) -> GossipPacket {
+    GossipPacket {
+        protocol: PROTOCOL_VERSION,
+        sender: name_of(7),
+        config_version: version,
+        kind: Some(GossipKind::Push(Push {})),
+        store_view: Some(StoreView {
+            clock_ms,
+            moves_digest: 0,
+            age_ms: age.as_millis() as u64,
+        }),
+        ..GossipPacket::default()
+    }
+}
+
 /// Guards against a member that does not announce new moves (rollouts of a service version) to others.
 #[test]
 fn a_higher_moves_digest_reaches_other_members_within_a_round() {
