Correct the longest wait of a reader in the sum of the waits

The comment gave 2600 ms for a long poll. It is a round of 1950 ms and half an interval, 2275 ms, as `waits_of_readers_end_at_their_turns` checks, and the time limit of a request.

--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -24,8 +24,8 @@
 //!
 //! A node counts as in touch `healthyS`, at least 3 s, after a disturbance has ended. Its last read may have begun
 //! during the disturbance. It ends after at most 1500 ms, and the next one follows within `FOLLOWER_RETRY_PERIOD` of
-//! its beginning or, on a reader, within 1000 ms of its end: 2500 ms and one read. A long poll (at most 2600 ms) is
-//! abandoned as soon as the confirmation is overdue, on a reader as on any other node.
+//! its beginning or, on a reader, within 1000 ms of its end: 2500 ms and one read. A long poll (at most 2275 ms and
+//! its time limit of 1500 ms) is abandoned as soon as the confirmation is overdue.
 
 use {
     super::{
