Split the entry handler by job

entry.rs held the acceptance of a call, the choice of its target, its attempts and their history in 560 lines, and further steps of a call are about to be added.

--- /dev/null
+++ b/src/mesh/entry/history.rs
@@ -0,0 +1,54 @@
+//! Outcomes of the attempts of one call.
+
+use {
+    crate::{
+        ids::NodeId,
+        membership::TargetEndpoint,
+        mesh::refusal::{ExecutionStatus, MeshRefusal, WholeBody},
+    },
+    http::Response,
+};
+
+/// Outcomes of the attempts of one call so far.
+#[derive(Default)]
+pub(super) struct AttemptHistory {
+    /// Nodes that are not selected again.
+    pub(super) tried: Vec<NodeId>,
+    /// Nodes that refused because their expected wait was too long; they are tried once more in the last round.
+    pub(super) full: Vec<NodeId>,
+    /// Attempts whose request may have reached a target.
+    pub(super) arrivals: u32,
+    /// Attempts started, counting those that a node refused.
+    pub(super) attempts: u32,
+    /// Whether all nodes were full, so that the call now accepts any wait within its latency objective.
+    pub(super) last_round: bool,
+    /// Last refusal.
+    pub(super) refusal: Option<MeshRefusal>,
+    /// Whether a target may have run the request.
+    pub(super) may_have_run: bool,
+    /// Last response with a server error.
+    pub(super) error_response: Option<Response<WholeBody>>,
+}
+
+impl AttemptHistory {
+    pub(super) fn record_error(&mut self, target: &TargetEndpoint, response: Response<WholeBody>) {
+        self.tried.push(target.node.clone());
+        self.arrivals += 1;
+        self.may_have_run = true;
+        self.error_response = Some(response);
+    }
+
+    /// Records a refusal; returns whether the request may have reached a target.
+    pub(super) fn record_refusal(&mut self, target: &TargetEndpoint, refusal: MeshRefusal) -> bool {
+        let arrived =
+            refusal.execution == ExecutionStatus::Unknown || refusal.reason == "target-shed";
+        self.arrivals += u32::from(arrived);
+        self.may_have_run |= refusal.execution == ExecutionStatus::Unknown;
+        match refusal.reason == "full" && !self.last_round {
+            true => self.full.push(target.node.clone()),
+            false => self.tried.push(target.node.clone()),
+        }
+        self.refusal = Some(refusal);
+        arrived
+    }
+}
