Read client accounts, public routes and limits of cold targets

Nodes do not act on accounts, caps and warm-up limits yet. Configurations without them keep their JSON form and their content hash.

--- a/src/config.rs
+++ b/src/config.rs
@@ -4,11 +4,11 @@
 //! set by the operator without a contract.
 
 use {
-    crate::ids::{ConfigVersion, CustomerName, RouteName, ServiceName, VersionName},
+    crate::ids::{AccountName, ConfigVersion, CustomerName, RouteName, ServiceName, VersionName},
     derive_more::{Display, From},
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, fmt, time::Duration},
     thiserror::Error,
 };
 
@@ -217,6 +217,95 @@
     pub attempts: u32,
     /// Priority of the route's calls while they wait for a slot of a target; 0 is the highest.
     pub priority: u32,
+    /// Whether callers need no key, also if the configuration has client accounts.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub public: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// Rate of calls, kept in calls per 1000 s so that configurations can be compared.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct CallRate {
+    calls_per_1000_s: u64,
+}
+
+impl CallRate {
+    /// Returns the rate for a number of calls per second, which must be finite and not negative.
+    pub fn from_per_second(calls: f64) -> Option<Self> {
+        let is_valid = calls.is_finite() && calls >= 0.0;
+        is_valid.then_some(Self {
+            calls_per_1000_s: (calls * 1000.0).round() as u64,
+        })
+    }
+
+    /// Returns the calls per second.
+    pub fn per_second(self) -> f64 {
+        self.calls_per_1000_s as f64 / 1000.0
+    }
+}
+
+/// Limit of the calls to a cold target, one that has started a short time ago.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WarmupLimit {
+    /// Time for which a target is cold after its start.
+    pub duration: Duration,
+    /// Calls that a cold target tolerates.
+    pub rate: CallRate,
+}
+
+/// Key with which a caller shows that it acts for a client account. Its text is never logged.
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct AccountKey {
+    secret: String,
+}
+
+impl AccountKey {
+    /// Returns the key with this text.
+    pub fn new(secret: String) -> Self {
+        Self { secret }
+    }
+
+    /// Returns the text of the key, as callers send it.
+    pub fn secret(&self) -> &str {
+        &self.secret
+    }
+}
+
+impl fmt::Debug for AccountKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("AccountKey(hidden)")
+    }
+}
+
+/// Limit of the calls of a client account over the whole fleet: a rate and what may come at once.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct UsageCap {
+    /// Calls allowed in the long run.
+    pub rate: CallRate,
+    /// Calls allowed at once in addition.
+    pub burst: u64,
+}
+
+/// A client account of the operator's callers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AccountSpec {
+    /// Name of the account, which targets are told.
+    pub account: AccountName,
+    /// Keys of the account; each is valid on its own.
+    pub keys: Vec<AccountKey>,
+    /// Priority of the account's calls, which goes before that of their routes; 0 is the highest.
+    pub priority: u32,
+    /// Limit of the account's calls; none if they are not limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cap: Option<UsageCap>,
 }
 
 /// A service that the operator sets directly, without a contract.
@@ -229,6 +318,9 @@
     pub connections: u32,
     /// Path of the health check of the service's targets.
     pub health_path: String,
+    /// Limit of the calls to a cold target; none if cold targets are not limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warmup: Option<WarmupLimit>,
 }
 
 /// Size limits and timeouts for the requests and connections of callers.
@@ -261,6 +353,8 @@
     Backend(BackendSpec),
     /// Limits on the requests and connections of callers.
     Intake(IntakeLimits),
+    /// A client account.
+    Account(AccountSpec),
 }
 
 /// Name of a resource, unique within a configuration, such as `service/kestrel/ledger`.
@@ -276,6 +370,7 @@
             Self::Route(route) => format!("route/{}", route.name),
             Self::Backend(spec) => format!("backend/{}", spec.key),
             Self::Intake(_) => "intake".to_owned(),
+            Self::Account(spec) => format!("account/{}", spec.account),
         }
     }
 }
@@ -440,6 +535,16 @@
         }
     }
 
+    /// Iterates over the client accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = &AccountSpec> {
+        self.resources
+            .values()
+            .filter_map(|entry| match &entry.resource {
+                ConfigResource::Account(spec) => Some(spec),
+                _ => None,
+            })
+    }
+
     /// Checks that every reference resolves, every traffic split is valid and no two services share a host.
     pub fn check(&self) -> Result<(), ConfigError> {
         self.check_references()?;
@@ -531,9 +636,10 @@
 
 fn referenced_names(resource: &ConfigResource) -> Vec<ResourceName> {
     match resource {
-        ConfigResource::Customer(_) | ConfigResource::Backend(_) | ConfigResource::Intake(_) => {
-            Vec::new()
-        }
+        ConfigResource::Customer(_)
+        | ConfigResource::Backend(_)
+        | ConfigResource::Intake(_)
+        | ConfigResource::Account(_) => Vec::new(),
         ConfigResource::Route(route) => {
             let shares = route.shares.iter();
             shares
--- a/src/contract.rs
+++ b/src/contract.rs
@@ -237,9 +237,10 @@
             ConfigResource::Customer(spec) => &spec.customer,
             ConfigResource::Service(spec) => &spec.key.customer,
             ConfigResource::Split(split) => &split.key.customer,
-            ConfigResource::Route(_) | ConfigResource::Backend(_) | ConfigResource::Intake(_) => {
-                return false;
-            }
+            ConfigResource::Route(_)
+            | ConfigResource::Backend(_)
+            | ConfigResource::Intake(_)
+            | ConfigResource::Account(_) => return false,
         };
         owner == customer
     });
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -6,6 +6,9 @@
 /// Name of a customer, as set in its contract.
 pub type CustomerName = String;
 
+/// Name of a client account, in whose name callers send calls; unique in the configuration.
+pub type AccountName = String;
+
 /// Name of a service, unique within its customer.
 pub type ServiceName = String;
 
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -53,6 +53,43 @@
     pub exposure_share: f64,
     /// Calls that a bad version may receive in addition to that share, over the whole fleet.
     pub exposure_slack: f64,
+    /// Limits of the calls to a cold target.
+    pub warmup: WarmupBounds,
+    /// Limits of how far client accounts may exceed their usage caps.
+    pub cap: CapBounds,
+    /// What a node does with the keys of client accounts while it may have missed that one was withdrawn.
+    pub key: KeyBounds,
+}
+
+/// How far the calls to a cold target may exceed its `WarmupLimit`: in any second at most the rate times `overage`,
+/// plus `slack`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmupBounds {
+    /// Factor of the rate.
+    pub overage: f64,
+    /// Calls allowed in addition.
+    pub slack: f64,
+}
+
+/// How far the calls of a client account may exceed its `UsageCap`: in any window at most what the cap allows times
+/// (1 + `overage`), plus `slack`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CapBounds {
+    /// Window over which the calls are counted.
+    pub window: Duration,
+    /// Fraction of what the cap allows that may come in addition.
+    pub overage: f64,
+    /// Calls allowed in addition.
+    pub slack: f64,
+}
+
+/// What a node does with the keys of client accounts while it may have missed that one was withdrawn.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KeyBounds {
+    /// Whether a node refuses calls with keys once it has been out of touch with the store for `revocation_time`.
+    pub strict: bool,
+    /// Time within which a withdrawn key must be refused everywhere.
+    pub revocation_time: Duration,
 }
 
 /// Names of the headers that callers and targets use.
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -13,7 +13,7 @@
             move_table::{MoveTable, MoveView},
             port::{MoveOrder, MoveRecord, MoveState, StoredMove},
             retry_share::RetryShares,
-            settings::MeshBounds,
+            settings::{CapBounds, KeyBounds, MeshBounds, WarmupBounds},
             split::RouteSplits,
             target_selection::{CallNeeds, TargetOutcome, TargetTracker},
         },
@@ -221,6 +221,7 @@
         latency_objective: Duration::from_millis(500),
         attempts: 2,
         priority: 1,
+        public: false,
     }
 }
 
@@ -275,6 +276,19 @@
         retry_extra: 64.0,
         exposure_share: 0.1,
         exposure_slack: 50.0,
+        warmup: WarmupBounds {
+            overage: 1.5,
+            slack: 8.0,
+        },
+        cap: CapBounds {
+            window: Duration::from_secs(5),
+            overage: 0.1,
+            slack: 20.0,
+        },
+        key: KeyBounds {
+            strict: false,
+            revocation_time: Duration::from_secs(5),
+        },
     }
 }
 
--- a/tests/mesh_exposure.rs
+++ b/tests/mesh_exposure.rs
@@ -12,7 +12,7 @@
             move_driver::watch_policy,
             move_schedule::{MoveProgress, MoveStep, next_step},
             move_step::StepCalls,
-            settings::MeshBounds,
+            settings::{CapBounds, KeyBounds, MeshBounds, WarmupBounds},
         },
         move_verdict::{VerdictTest, counter_history::CounterDifference},
     },
@@ -117,6 +117,19 @@
         retry_extra: 64.0,
         exposure_share: SHARE,
         exposure_slack: SLACK,
+        warmup: WarmupBounds {
+            overage: 1.5,
+            slack: 8.0,
+        },
+        cap: CapBounds {
+            window: Duration::from_secs(5),
+            overage: 0.1,
+            slack: 20.0,
+        },
+        key: KeyBounds {
+            strict: false,
+            revocation_time: Duration::from_secs(5),
+        },
     }
 }
 
--- a/tests/support/mesh_node.rs
+++ b/tests/support/mesh_node.rs
@@ -8,7 +8,7 @@
         gossip::GossipNode,
         mesh::{
             context::MeshContext,
-            settings::{CallHeaders, MeshBounds, MeshSettings},
+            settings::{CallHeaders, CapBounds, KeyBounds, MeshBounds, MeshSettings, WarmupBounds},
         },
         node_metrics::NodeMetrics,
         settings::{GossipSection, LogSection, NodeSection},
@@ -73,6 +73,19 @@
             retry_extra: 64.0,
             exposure_share: 0.1,
             exposure_slack: 50.0,
+            warmup: WarmupBounds {
+                overage: 1.5,
+                slack: 8.0,
+            },
+            cap: CapBounds {
+                window: Duration::from_secs(5),
+                overage: 0.1,
+                slack: 20.0,
+            },
+            key: KeyBounds {
+                strict: false,
+                revocation_time: Duration::from_secs(5),
+            },
         },
         headers: CallHeaders {
             call_id: header("x-call-id"),
