Identify the client account of a call by its key

Configurations with client accounts were read but had no effect: calls without a key ran, keys reached targets, and no target learned the account.

Calls on routes that are not public now need a key; any other gets 401 before its body is read. The key is removed, the target receives the account's name, and the priority of the account goes before that of the route in the admission queue. Faults of accounts refuse the whole configuration, all named at once.

A node without a disk could accept a withdrawn key again after a restart, with an older configuration of a peer. It now refuses keys while its version is below the one that peers remember of it, and in the strict mode while the store has not confirmed its configuration in time.

--- a/src/active_config.rs
+++ b/src/active_config.rs
@@ -1,16 +1,19 @@
-//! The configuration in force with indexes by host name, for the routing of calls.
+//! The configuration in force with its indexes, for the routing of calls.
 
 use {
-    crate::config::{ConfigResource, ConfigSnapshot, HostRoute, RouteSpec, ServiceSpec},
+    crate::{
+        accounts::key_index::KeyIndex,
+        config::{ConfigResource, ConfigSnapshot, HostRoute, RouteSpec, ServiceSpec},
+    },
     derive_more::Deref,
     std::{cmp::Reverse, collections::HashMap, sync::Arc},
 };
 
-/// A configuration in force with its indexes by host name.
+/// A configuration in force with its indexes by host name and by key of client accounts.
 ///
 /// Invariants, with host names in lower case: `services_by_host` maps the host of every service of `snapshot` to the
 /// resource name of the service; `routes_by_host` holds every `HostRoute` (a route that an operator defines directly,
-/// without a contract) of a host, those with the longest prefix first. The indexes are built once when a version is
+/// without a contract) of a host, those with the longest prefix first; `keys` holds every client account. The indexes are built once when a version is
 /// put in force, since the cost of a search over all services for each call would grow with their number.
 #[derive(Debug, Default, Deref)]
 pub struct ActiveConfig {
@@ -18,6 +21,7 @@
     snapshot: Arc<ConfigSnapshot>,
     services_by_host: HashMap<String, String>,
     routes_by_host: HashMap<String, Vec<Arc<HostRoute>>>,
+    keys: KeyIndex,
 }
 
 impl From<ConfigSnapshot> for ActiveConfig {
@@ -32,10 +36,12 @@
             })
             .collect();
         let routes_by_host = index_routes(&snapshot);
+        let keys = KeyIndex::new(snapshot.accounts());
         Self {
             snapshot: Arc::new(snapshot),
             services_by_host,
             routes_by_host,
+            keys,
         }
     }
 }
@@ -61,6 +67,11 @@
         self.snapshot.clone()
     }
 
+    /// Returns the client accounts with their index by key.
+    pub fn keys(&self) -> &KeyIndex {
+        &self.keys
+    }
+
     /// Returns the service of a host name; case and a port in `host` are ignored.
     pub fn service_of_host(&self, host: &str) -> Option<&ServiceSpec> {
         let name = host_name(host).to_ascii_lowercase();
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,7 +3,12 @@
 //! Most resources come from customer contracts (see [`crate::contract`]). Routes, backends and intake limits are
 //! set by the operator without a contract.
 
+mod account_check;
+
+pub use self::account_check::AccountFault;
+
 use {
+    self::account_check::find_faults,
     crate::ids::{AccountName, ConfigVersion, CustomerName, RouteName, ServiceName, VersionName},
     derive_more::{Display, From},
     serde::{Deserialize, Serialize},
@@ -464,6 +469,17 @@
         /// Share of the candidate in per mille.
         permille: u32,
     },
+    /// Client accounts have faults; all of them are listed.
+    #[error("client accounts: {}", join_faults(.faults))]
+    InvalidAccounts {
+        /// Faults in the order of the names of the accounts.
+        faults: Vec<AccountFault>,
+    },
+}
+
+fn join_faults(faults: &[AccountFault]) -> String {
+    let texts: Vec<String> = faults.iter().map(AccountFault::to_string).collect();
+    texts.join("; ")
 }
 
 impl ConfigSnapshot {
@@ -545,10 +561,20 @@
             })
     }
 
-    /// Checks that every reference resolves, every traffic split is valid and no two services share a host.
+    /// Checks that every reference resolves, every traffic split is valid, no two services share a host, and no two
+    /// client accounts a key.
     pub fn check(&self) -> Result<(), ConfigError> {
         self.check_references()?;
-        self.check_hosts()
+        self.check_hosts()?;
+        self.check_accounts()
+    }
+
+    fn check_accounts(&self) -> Result<(), ConfigError> {
+        let faults = find_faults(self.accounts());
+        match faults.is_empty() {
+            true => Ok(()),
+            false => Err(ConfigError::InvalidAccounts { faults }),
+        }
     }
 
     fn check_references(&self) -> Result<(), ConfigError> {
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -193,6 +193,13 @@
         self.shared.confirmation.lock().age(now)
     }
 
+    /// Returns the time since this node's copy of the platform store was last known to be current; none if it has not
+    /// been since the start of the process. Time for which the machine was suspended counts.
+    pub fn store_confirmation_age(&self) -> Option<Duration> {
+        let now = ClockReading::now(self.shared.started.elapsed());
+        self.shared.confirmation.lock().confirmed_age(now)
+    }
+
     /// Announces the digest of the moves (rollouts of a service version) that this node has.
     pub fn set_moves_digest(&self, digest: u64) {
         self.run_step(|machine, _, tables| machine.set_moves_digest(digest, tables));
--- a/src/gossip/confirmation_age.rs
+++ b/src/gossip/confirmation_age.rs
@@ -22,6 +22,8 @@
 pub struct ConfirmationAge {
     confirmed_at: Duration,
     suspended_before: Duration,
+    /// Whether a confirmation has arrived; before that, `confirmed_at` is the start of the node.
+    is_confirmed: bool,
 }
 
 impl ClockReading {
@@ -40,6 +42,7 @@
         Self {
             confirmed_at: now.monotonic,
             suspended_before: now.suspended,
+            is_confirmed: false,
         }
     }
 
@@ -48,10 +51,16 @@
         if confirmed_at > self.confirmed_at {
             self.confirmed_at = confirmed_at;
             self.suspended_before = now.suspended;
+            self.is_confirmed = true;
         }
     }
 
-    /// Returns the time since the last confirmation.
+    /// Returns the time since the last confirmation; none if there has been none since the start of the node.
+    pub fn confirmed_age(&self, now: ClockReading) -> Option<Duration> {
+        self.is_confirmed.then(|| self.age(now))
+    }
+
+    /// Returns the time since the last confirmation, or since the start of the node.
     pub fn age(&self, now: ClockReading) -> Duration {
         let running = now.monotonic.saturating_sub(self.confirmed_at);
         running + now.suspended.saturating_sub(self.suspended_before)
--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -32,6 +32,11 @@
 /// route; 0 goes first.
 const RANK_PENALTY: Duration = Duration::from_millis(150);
 
+/// Time by which a waiting call is sorted later for each step of the priority of its client account; 0 goes first. It
+/// outweighs three steps of the rank. Since it is a time, a waiting call is overtaken only by calls that arrive within
+/// it, and not starved.
+const ACCOUNT_RANK_PENALTY: Duration = Duration::from_millis(500);
+
 /// A waiting call is started only if at least this fraction of its expected service time is left before its deadline;
 /// a call that finds a free slot is started without this check.
 const MIN_START_FRACTION: f64 = 0.6;
@@ -73,7 +78,7 @@
     }
 }
 
-/// Sort key of waiting calls: time of the latency objective plus the penalty of the rank, then order of arrival.
+/// Sort key of waiting calls: time of the latency objective plus the penalties of the ranks, then order of arrival.
 type WaiterKey = (Instant, u64);
 
 /// Slot that is given to a waiting call.
@@ -133,6 +138,8 @@
     pub route: &'a str,
     /// Priority of the route; 0 goes first.
     pub rank: u32,
+    /// Priority of the client account, which goes before that of the route; 0 for calls without an account.
+    pub account_rank: u32,
     /// Time left until the latency objective.
     pub time_to_objective: Duration,
     /// Time at which the call times out.
@@ -236,7 +243,8 @@
             };
             return Ok(Admission::Admitted(permit));
         }
-        let sort_time = now + request.time_to_objective + RANK_PENALTY * request.rank;
+        let penalty = RANK_PENALTY * request.rank + ACCOUNT_RANK_PENALTY * request.account_rank;
+        let sort_time = now + request.time_to_objective + penalty;
         let assumed = request.time_to_objective.mul_f64(ASSUMED_SERVICE_FRACTION);
         let service_time = state.route_time(request.route, assumed);
         let finish = state.expected_wait(sort_time, assumed) + service_time;
--- a/src/mesh/attempt.rs
+++ b/src/mesh/attempt.rs
@@ -152,6 +152,8 @@
         version: target.version.clone(),
         route: call.route.name.clone(),
         rank: call.route.priority,
+        account: call.account.as_ref().map(|spec| spec.account.clone()),
+        account_rank: call.account.as_ref().map(|spec| spec.priority),
         caller: context.settings.service.service.clone(),
         left,
         due,
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,7 +1,7 @@
 //! State of a node that its servers and background tasks share.
 //!
 //! Lock order: `announcing`, then `registry`, then those of `board`, then `target_tracker`, `budgets`, `exposure`,
-//! `splits`, `caller_deadlines`. No lock is held across an await.
+//! `splits`, `caller_deadlines`, `remembered_version`. No lock is held across an await.
 
 use {
     super::{
@@ -11,7 +11,7 @@
         shutdown::Shutdown, split::RouteSplits, target_selection::TargetTracker,
     },
     crate::{
-        blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode,
+        blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode, ids::ConfigVersion,
         node_metrics::NodeMetrics, target_client::TargetClient,
     },
     parking_lot::Mutex,
@@ -52,6 +52,9 @@
     pub splits: Mutex<RouteSplits>,
     /// Deadlines that callers sent, for the time spent on earlier attempts.
     pub caller_deadlines: Mutex<CallerDeadlines>,
+    /// Highest configuration version that peers, in their replies to joins, remember to have been in force on this
+    /// node; none before the first reply.
+    pub remembered_version: Mutex<Option<ConfigVersion>>,
     /// Rate limit of the log lines about single calls.
     pub call_log_limiter: LogRateLimiter,
     /// Shutdown of the node, and which calls are taken meanwhile.
@@ -90,6 +93,7 @@
             exposure: Mutex::new(exposure),
             splits: Mutex::default(),
             caller_deadlines: Mutex::default(),
+            remembered_version: Mutex::default(),
             call_log_limiter: LogRateLimiter::default(),
             shutdown: Shutdown::default(),
             announcing: Mutex::default(),
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -1,5 +1,6 @@
 //! HTTP handler for callers: accepts a call, selects its targets and decides whether it may be retried.
 
+mod account;
 mod attempts;
 mod choice;
 mod history;
--- a/src/mesh/entry/intake.rs
+++ b/src/mesh/entry/intake.rs
@@ -1,14 +1,14 @@
-//! Acceptance of a call: finds its route and service, checks its deadline and reads its body.
+//! Acceptance of a call: finds its route, account and service, checks its deadline and reads its body.
 
 use {
-    super::{NOT_READY_RETRY_AFTER, header_text},
+    super::{NOT_READY_RETRY_AFTER, account::identify_account, header_text},
     crate::mesh::{
         context::MeshContext,
         entry_call::EntryCall,
         http::{WholeBodyError, read_whole},
         refusal::MeshRefusal,
         startup_wait::wait_for_config,
-        target::MAX_REQUEST_BYTES,
+        target::{MAX_REQUEST_BYTES, remove_account_headers},
     },
     bytes::Bytes,
     http::{
@@ -26,7 +26,7 @@
 /// time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
-/// Finds the route and the service of a call and reads its body.
+/// Finds the route, the client account and the service of a call and reads its body.
 pub(super) async fn accept_call(
     context: &MeshContext,
     request: Request<Incoming>,
@@ -44,6 +44,7 @@
     let route = config
         .host_route(&host, request.uri().path())
         .ok_or_else(|| MeshRefusal::rejected(StatusCode::NOT_FOUND, "no-route"))?;
+    let account = identify_account(context, &config, &route, request.headers())?;
     let timeout = caller_deadline(context, request.headers())?;
     let allowed = timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let waited_before = timeout.map_or(Duration::ZERO, |timeout| {
@@ -60,7 +61,10 @@
         MAX_REQUEST_BYTES.min(limits.body_bytes as usize)
     });
     let config_version = config.version;
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    if config.keys().has_accounts() {
+        remove_account_headers(context, &mut head.headers);
+    }
     let content = read_body(context, &head, body, limit, deadline).await?;
     let mut rng = rand::rng();
     let draw = rng.random_range(0..1000);
@@ -72,6 +76,7 @@
     Ok(EntryCall {
         route,
         service,
+        account,
         head,
         content,
         call_id,
--- a/src/mesh/entry_call.rs
+++ b/src/mesh/entry_call.rs
@@ -1,7 +1,7 @@
 //! A call at its entry node, which received it from the caller.
 
 use {
-    crate::config::{HostRoute, ServiceKey},
+    crate::config::{AccountSpec, HostRoute, ServiceKey},
     bytes::Bytes,
     http::request::Parts,
     std::{
@@ -19,7 +19,9 @@
     pub route: Arc<HostRoute>,
     /// Service selected by the traffic split of the route.
     pub service: ServiceKey,
-    /// Head of the request.
+    /// Client account that holds the key of the call; none if it needs no key and carries no valid one.
+    pub account: Option<Arc<AccountSpec>>,
+    /// Head of the request, without the headers of accounts.
     pub head: Parts,
     /// Body of the request.
     pub content: Bytes,
--- a/src/mesh/hop.rs
+++ b/src/mesh/hop.rs
@@ -4,7 +4,7 @@
     super::admission::TargetLoad,
     crate::{
         config::ServiceKey,
-        ids::{RouteName, ServiceName, VersionName},
+        ids::{AccountName, RouteName, ServiceName, VersionName},
     },
     bytes::Bytes,
     futures::ready,
@@ -61,6 +61,12 @@
     pub route: RouteName,
     /// Priority of the route; 0 goes first.
     pub rank: u32,
+    /// Client account that makes the call; none if it carries no key. Nodes of earlier versions do not read it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<AccountName>,
+    /// Priority of that account, which goes before that of the route; 0 goes first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account_rank: Option<u32>,
     /// Service that makes the call, which is that of the target beside the entry node.
     pub caller: ServiceName,
     /// Time left until the call times out.
--- a/src/mesh/peer_discovery.rs
+++ b/src/mesh/peer_discovery.rs
@@ -10,8 +10,11 @@
         store_reader::is_domain_reader,
     },
     crate::{
-        config_sync::request_join, gossip::member_events::target_of, ids::NodeId,
-        membership::MemberState, wire::JoinReply,
+        config_sync::request_join,
+        gossip::member_events::target_of,
+        ids::{ConfigVersion, NodeId},
+        membership::{MemberRecord, MemberState},
+        wire::JoinReply,
     },
     rand::seq::{IteratorRandom, SliceRandom},
     std::{
@@ -194,6 +197,9 @@
 
     /// Returns a known peer to join for its members, if that is due.
     fn due_pull(&mut self, context: &MeshContext, now: Instant) -> Option<PeerRow> {
+        if must_ask_peer(context) {
+            return random_local_node(context).or_else(|| random_node(context, |_| true));
+        }
         let due = self.pulls_at.iter().position(|at| *at <= now)?;
         let peer = random_local_node(context)?;
         self.pulls_at.remove(due);
@@ -220,11 +226,19 @@
 /// Returns a random live node of the own failure domain, which may have further members.
 fn random_local_node(context: &MeshContext) -> Option<PeerRow> {
     let own = &context.settings.node;
+    random_node(context, |record| record.domain == own.failure_domain)
+}
+
+/// Returns a random live node other than this one.
+fn random_node(
+    context: &MeshContext,
+    is_wanted: impl Fn(&MemberRecord) -> bool,
+) -> Option<PeerRow> {
     let members = context.board.members.lock();
     let neighbours = members.iter().filter(|record| {
         record.state == MemberState::Alive
-            && record.domain == own.failure_domain
-            && record.node != own.id
+            && record.node != context.settings.node.id
+            && is_wanted(record)
     });
     let chosen = neighbours.choose(&mut rand::rng())?;
     Some(PeerRow {
@@ -263,6 +277,28 @@
     }
 }
 
+/// Returns whether keys of client accounts cannot be accepted until a peer has told which configuration version it
+/// remembers of this node. A node that was found by its peers, for example while the store is away, joins none by itself.
+fn must_ask_peer(context: &MeshContext) -> bool {
+    let is_unasked = context.remembered_version.lock().is_none();
+    is_unasked
+        && context.gossip.store_confirmation_age().is_none()
+        && context.board.gate.active().keys().has_accounts()
+}
+
+/// Takes over which configuration version was in force on this node before its restart; returns it.
+fn restore_version(context: &MeshContext, reply: &JoinReply) -> ConfigVersion {
+    let told = match reply.incarnation {
+        // The peer has no record of this node. It may have dropped the version, which was not above its own then.
+        0 => reply.floor.max(reply.config_version),
+        _ => reply.floor,
+    };
+    let mut remembered = context.remembered_version.lock();
+    let highest = remembered.map_or(told, |known| known.max(told));
+    *remembered = Some(highest);
+    highest
+}
+
 /// Takes over which target has left before this node was restarted.
 fn restore_left_target(context: &MeshContext, reply: &JoinReply) {
     let Some(left) = &reply.left_target else {
@@ -287,9 +323,10 @@
         Ok(answer) => {
             let members = context.gossip.apply_join_reply(&answer.reply);
             restore_left_target(context, &answer.reply);
+            let remembered_version = restore_version(context, &answer.reply);
             // Also logged if another node than that of the row answered at the address; `peer` is the one that
             // answered.
-            info!(peer = answer.node, members, "joined");
+            info!(peer = answer.node, members, remembered_version, "joined");
             answer.node == row.node
         }
         Err(error) => {
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -109,4 +109,8 @@
     pub not_run: HeaderName,
     /// Service that makes the call.
     pub caller: HeaderName,
+    /// Key of a client account, sent by callers; targets never receive it.
+    pub account_key: HeaderName,
+    /// Client account that makes the call, as targets receive it.
+    pub account: HeaderName,
 }
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -86,6 +86,7 @@
     let slot_request = SlotRequest {
         route: &metadata.route,
         rank: metadata.rank,
+        account_rank: metadata.account_rank.unwrap_or_default(),
         time_to_objective: metadata.due,
         deadline,
         finish_within: metadata.finish_within,
@@ -210,10 +211,19 @@
     let left = deadline.saturating_duration_since(Instant::now());
     let headers = request.headers_mut();
     headers.insert(&names.deadline, HeaderValue::from(left.as_millis() as u64));
-    for (name, text) in [
+    // The entry node has removed them, unless it had a configuration without accounts.
+    if metadata.account.is_some() || context.board.gate.active().keys().has_accounts() {
+        remove_account_headers(context, headers);
+    }
+    let account = metadata.account.as_deref();
+    let texts = [
         (&names.expected_instance, instance),
         (&names.caller, &metadata.caller),
-    ] {
+    ];
+    for (name, text) in texts
+        .into_iter()
+        .chain(account.map(|account| (&names.account, account)))
+    {
         match HeaderValue::from_str(text) {
             Ok(value) => drop(headers.insert(name, value)),
             Err(_) => {
@@ -228,6 +238,13 @@
     request
 }
 
+/// Removes the key and the account that a caller sent: the key is not for targets, and only nodes name the account.
+pub fn remove_account_headers(context: &MeshContext, headers: &mut HeaderMap) {
+    let names = &context.settings.headers;
+    headers.remove(&names.account_key);
+    headers.remove(&names.account);
+}
+
 /// Returns the request headers without those that apply to one connection or to one hop.
 pub fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
--- a/tests/mesh_admission.rs
+++ b/tests/mesh_admission.rs
@@ -25,6 +25,7 @@
     SlotRequest {
         route: "jobs",
         rank,
+        account_rank: 0,
         time_to_objective,
         deadline: Instant::now() + Duration::from_secs(20),
         finish_within,
@@ -235,3 +236,58 @@
     );
     assert_eq!((queue.load().running, queue.load().waiting), (1, 0));
 }
+
+/// Returns which of two waiting calls gets the slot first, once it is free.
+async fn first_admitted(
+    earlier: SlotRequest<'static>,
+    later: SlotRequest<'static>,
+) -> &'static str {
+    let queue = queue_with_slots(1);
+    let running = queue.acquire(lenient_request()).await.expect("slot");
+    let (mut earlier, mut later) = (
+        Box::pin(queue.acquire(earlier)),
+        Box::pin(queue.acquire(later)),
+    );
+    // Both calls join the queue when they are polled for the first time.
+    assert!(futures::poll!(&mut earlier).is_pending());
+    assert!(futures::poll!(&mut later).is_pending());
+    drop(running);
+    tokio::select! {
+        _ = earlier => "earlier",
+        _ = later => "later",
+    }
+}
+
+/// Guards against routes that outweigh the priority of the client accounts.
+#[tokio::test]
+async fn the_priority_of_the_account_goes_before_that_of_the_route() {
+    let low_account = SlotRequest {
+        account_rank: 1,
+        rank: 0,
+        ..lenient_request()
+    };
+    let high_account = SlotRequest {
+        account_rank: 0,
+        rank: 3,
+        ..lenient_request()
+    };
+
+    let first = first_admitted(low_account, high_account).await;
+
+    assert_eq!(first, "later");
+}
+
+/// Guards against calls of an account with a low priority that starve: a call whose objective ends long before that of
+/// another is not overtaken by it.
+#[tokio::test]
+async fn an_account_with_a_low_priority_is_not_starved() {
+    let low_account = SlotRequest {
+        account_rank: 1,
+        ..lenient_request()
+    };
+    let distant = request(Duration::from_secs(4), 1, Duration::from_secs(10));
+
+    let first = first_admitted(low_account, distant).await;
+
+    assert_eq!(first, "earlier");
+}
--- a/tests/support/mesh_node.rs
+++ b/tests/support/mesh_node.rs
@@ -95,6 +95,8 @@
             expected_instance: header("x-instance"),
             not_run: header("x-not-run"),
             caller: header("x-caller"),
+            account_key: header("x-account-key"),
+            account: header("x-account"),
         },
     }
 }
