--- a/tests/accounts_keys.rs
+++ b/tests/accounts_keys.rs
@@ -132,29 +132,22 @@
     let Err(ApplyError::Invalid { cause, .. }) = refused else {
         panic!("expected a refusal, found {refused:?}");
     };
-    let shared = |account: &str, number, other: &str| AccountFault::SharedKey {
-        account: account.to_owned(),
+    let empty = |account: String, number| AccountFault::EmptyKey { account, number };
+    let invalid = |account: String, number| AccountFault::InvalidKey { account, number };
+    let shared = |account: String, number, other| AccountFault::SharedKey {
+        account,
         number,
-        other: other.to_owned(),
+        other,
     };
-    let (empty, invalid) = ("a".to_owned(), "c".to_owned());
+    let name = |text: &str| text.to_owned();
     let faults = vec![
-        AccountFault::EmptyKey {
-            account: empty,
-            number: 2,
-        },
-        shared("b", 2, "a"),
-        AccountFault::InvalidKey {
-            account: invalid.clone(),
-            number: 1,
-        },
-        AccountFault::InvalidKey {
-            account: invalid,
-            number: 2,
-        },
-        shared("c", 3, "b"),
+        empty(name("a"), 2),
+        shared(name("b"), 2, name("a")),
+        invalid(name("c"), 1),
+        invalid(name("c"), 2),
+        shared(name("c"), 3, name("b")),
         AccountFault::InvalidName {
-            account: "two\nlines".to_owned(),
+            account: name("two\nlines"),
         },
     ];
     let text = cause.to_string();
@@ -177,34 +170,38 @@
     assert_eq!(checked, Ok(()));
 }
 
-/// Guards against a withdrawn key that is accepted once more after a restart, because the configuration of a peer is
-/// older than the one before.
+/// Guards against a withdrawn key that is accepted once more after a restart, with the older configuration of a peer,
+/// and against keys that are refused although peers or the store show that no version was missed.
 #[test]
 fn keys_are_refused_while_the_version_is_below_the_remembered_one() {
-    let outdated = Err(KeyDoubt::Outdated);
-
-    assert_eq!(knowledge(Some(5), None).check(None), outdated);
-    assert_eq!(knowledge(Some(5), Some(0)).check(None), outdated);
-    assert_eq!(knowledge(None, None).check(None), outdated);
-}
+    let cases = [
+        (Some(5), None, Err(KeyDoubt::Outdated)),
+        (Some(5), Some(0), Err(KeyDoubt::Outdated)),
+        (None, None, Err(KeyDoubt::Outdated)),
+        (Some(4), None, Ok(())),
+        (Some(0), None, Ok(())),
+        (None, Some(100), Ok(())),
+    ];
 
-/// Guards against a node that refuses keys although its configuration is the newest that it can have had.
-#[test]
-fn keys_are_accepted_if_peers_or_the_store_show_that_no_version_was_missed() {
-    assert_eq!(knowledge(Some(4), None).check(None), Ok(()));
-    assert_eq!(knowledge(Some(0), None).check(None), Ok(()));
-    assert_eq!(knowledge(None, Some(100)).check(None), Ok(()));
+    for (remembered, age_s, expected) in cases {
+        let checked = knowledge(remembered, age_s).check(None);
+        assert_eq!(checked, expected, "{remembered:?}, {age_s:?}");
+    }
 }
 
 /// Guards against a node in the strict mode that accepts keys which may have been withdrawn longer ago than allowed.
 #[test]
 fn the_strict_mode_limits_the_age_of_the_confirmation() {
-    let limit = Some(REVOCATION_TIME);
-    let unconfirmed = Err(KeyDoubt::Unconfirmed);
+    let cases = [
+        (Some(5), Ok(())),
+        (Some(6), Err(KeyDoubt::Unconfirmed)),
+        (None, Err(KeyDoubt::Unconfirmed)),
+    ];
 
-    assert_eq!(knowledge(Some(4), Some(5)).check(limit), Ok(()));
-    assert_eq!(knowledge(Some(4), Some(6)).check(limit), unconfirmed);
-    assert_eq!(knowledge(Some(4), None).check(limit), unconfirmed);
+    for (age_s, expected) in cases {
+        let checked = knowledge(Some(4), age_s).check(Some(REVOCATION_TIME));
+        assert_eq!(checked, expected, "{age_s:?}");
+    }
 }
 
 /// Guards against the start of a node that counts as a confirmation of its configuration.
