Leave the targets of a drained failure domain out of use

The operator's row evacuate/ZONE was read by nobody, so calls went on to the targets of a zone that was to be empty. The row and its removal are now decoded as the drain of a failure domain. Its state has the revision of the store, is kept in a table of its own and is passed on by the exchange of moves: the digest in gossip packets counts both, and the reply has a field for drains that is left out while there is none.

Entry nodes leave the targets of a drained domain out of the choice and refuse a call at once with 503 domain-drained if no other is left. The node beside a target of the domain refuses as not run what it gets from nodes that have not heard of the order; calls that run end. A target that is held after a start of its node gets no health check until the drain has ended. The metric poplarwing_drained_domains and log lines with decision drain show the state.

The property test runs 2,000 interleavings of changes, feeds, complete reads, exchanges and restarts. The tests with nodes pass, and some of them fail in turn without the choice, the refusal at the target, the hold of the health check, the exchange with peers, the rule of versions without a move, the immediate refusal, and the reopening of the target.

--- a/src/config_sync.rs
+++ b/src/config_sync.rs
@@ -11,6 +11,7 @@
         apply_gate::{ApplyError, ConfigSource},
         blackboard::Blackboard,
         config::{ConfigDelta, ConfigError, ConfigSnapshot, ServiceKey},
+        domain_drain::DomainDrain,
         gossip::{GossipNode, counters::GossipCounters, member_events::full_event},
         ids::{ConfigVersion, NodeId},
         mesh::move_table::MoveSnapshot,
@@ -252,27 +253,45 @@
     }
 }
 
-/// Requests the moves (changes of a service from one version to another) that a peer knows.
+/// Moves and drains that a peer knows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerOrders {
+    /// Moves: changes of a service from one version to another.
+    pub moves: MoveSnapshot,
+    /// Drains of failure domains.
+    pub drains: Vec<DomainDrain>,
+}
+
+/// Requests the moves and drains that a peer knows.
 pub async fn request_moves(
     address: SocketAddr,
     gossip: &GossipNode,
-) -> Result<MoveSnapshot, SyncError> {
+) -> Result<PeerOrders, SyncError> {
     let node = gossip.own().node;
     let request = SyncBody::MovesAsk(MovesAsk {});
     match exchange(address, &node, request, gossip.counters())
         .await?
         .body
     {
-        SyncBody::MovesReply(reply) => {
-            serde_json::from_slice(&reply.json).map_err(|cause| SyncError::Response {
-                peer: address,
-                cause: cause.into(),
-            })
-        }
+        SyncBody::MovesReply(reply) => parse_orders(&reply).map_err(|cause| SyncError::Response {
+            peer: address,
+            cause,
+        }),
         other => Err(unexpected_frame(address, &other, "MovesReply")),
     }
 }
 
+fn parse_orders(reply: &MovesReply) -> Result<PeerOrders, ResponseError> {
+    let drains = match reply.drains_json.is_empty() {
+        true => Vec::new(),
+        false => serde_json::from_slice(&reply.drains_json)?,
+    };
+    Ok(PeerOrders {
+        moves: serde_json::from_slice(&reply.json)?,
+        drains,
+    })
+}
+
 /// Reply to a `JoinAsk`, with the name of the peer that sent it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerReply {
@@ -544,7 +563,12 @@
     fn build_moves_reply(&self) -> SyncBody {
         let snapshot = self.board.moves.lock().snapshot();
         let json = serde_json::to_vec(&snapshot).expect("moves have only string keys");
-        SyncBody::MovesReply(MovesReply { json })
+        let drains = self.board.drains.lock().snapshot();
+        let drains_json = match drains.is_empty() {
+            true => Vec::new(),
+            false => serde_json::to_vec(&drains).expect("drains have only string keys"),
+        };
+        SyncBody::MovesReply(MovesReply { json, drains_json })
     }
 
     fn build_evidence_reply(&self, request: EvidenceAsk) -> SyncBody {
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -193,7 +193,7 @@
         self.shared.confirmation.lock().age(now)
     }
 
-    /// Announces the digest of the moves (rollouts of a service version) that this node has.
+    /// Announces the digest of the moves (rollouts of a service version) and drains that this node has.
     pub fn set_moves_digest(&self, digest: u64) {
         self.run_step(|machine, _, tables| machine.set_moves_digest(digest, tables));
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod config_sync;
 pub mod contract;
 pub mod controller_pool;
+pub mod domain_drain;
 pub mod domain_reader;
 pub mod event_log;
 pub mod forward_server;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -11,6 +11,7 @@
 pub mod caller_deadline;
 pub mod client_io;
 pub mod context;
+pub mod drain_orders;
 pub mod entry;
 pub mod entry_call;
 pub mod exchange_trace;
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -16,6 +16,7 @@
     },
     parking_lot::Mutex,
     std::{sync::Arc, time::Instant},
+    tracing::info,
 };
 
 /// Connections to the target beside this node until the configuration sets their number.
@@ -97,13 +98,15 @@
     }
 
     /// Publishes the state of the target beside this node: opens or closes its admission queue and gossips its
-    /// record.
+    /// record. The queue is closed while the failure domain is drained; the record does not depend on that, since
+    /// each node leaves out the targets of the domain.
     pub fn publish_target(&self) {
         let _announcing = self.announcing.lock();
         let leaving = self.is_leaving();
         let record = {
             let registry = self.registry.lock();
-            match registry.current().filter(|report| !report.draining) {
+            let in_use = registry.current().filter(|report| !report.draining);
+            match in_use.filter(|_| !self.is_domain_drained()) {
                 Some(report) => self.queue.open(report.slots),
                 None => self.queue.close(),
             }
@@ -129,10 +132,27 @@
         self.publish_target();
     }
 
-    /// Gossips the digest of the moves that this node has; call it after a change of `board.moves`.
+    /// Returns whether the failure domain of this node is drained, so that its target takes no calls.
+    pub fn is_domain_drained(&self) -> bool {
+        let domain = &self.settings.node.failure_domain;
+        self.board.drains.lock().is_drained(domain)
+    }
+
+    /// Puts the target back into use after the drain of its failure domain has ended.
+    pub fn domain_restored(&self) {
+        info!(
+            decision = "drain",
+            domain = self.settings.node.failure_domain,
+            "target of this node takes calls again: the drain of its failure domain has ended"
+        );
+        self.publish_target();
+    }
+
+    /// Gossips the digest of the moves and drains that this node has; call it after a change of `board.moves` or
+    /// `board.drains`.
     pub fn publish_moves(&self) {
         let _announcing = self.announcing.lock();
-        let digest = self.board.moves.lock().digest();
+        let digest = self.board.orders_digest();
         self.gossip.set_moves_digest(digest);
     }
 
--- a/src/mesh/entry/attempts.rs
+++ b/src/mesh/entry/attempts.rs
@@ -1,7 +1,11 @@
 //! Attempts of a call: retries and hedges until one succeeds or no further attempt is allowed.
 
 use {
-    super::{NOT_READY_RETRY_AFTER, choice::choose_target, history::AttemptHistory},
+    super::{
+        NOT_READY_RETRY_AFTER,
+        choice::{ChoiceError, choose_target},
+        history::AttemptHistory,
+    },
     crate::{
         membership::TargetEndpoint,
         mesh::{
@@ -41,14 +45,24 @@
 ) -> Result<Response<WholeBody>, MeshRefusal> {
     let mut history = AttemptHistory::default();
     context.budgets.lock().earn(&call.service, Instant::now());
-    let mut first_target =
-        wait_for_target(context, call, || choose_target(context, call, &mut history)).await;
+    let first_choice = wait_for_target(
+        context,
+        call,
+        || choose_target(context, call, &mut history),
+        ChoiceError::is_final,
+    )
+    .await;
+    let mut first_choice = Some(first_choice);
     loop {
-        let chosen = first_target
+        let chosen = first_choice
             .take()
-            .or_else(|| choose_target(context, call, &mut history));
-        let Some(target) = chosen else {
-            return final_result(call, history);
+            .unwrap_or_else(|| choose_target(context, call, &mut history));
+        let target = match chosen {
+            Ok(target) => target,
+            Err(error) => {
+                history.refusal.get_or_insert_with(|| error.refusal());
+                return final_result(call, history);
+            }
         };
         if !context.shutdown.can_end(call.deadline) {
             history.refusal = Some(MeshRefusal::stopping());
@@ -195,10 +209,11 @@
     let mut excluded = AttemptHistory {
         tried: history.tried.clone(),
         full: history.full.clone(),
+        drained: history.drained.clone(),
         ..AttemptHistory::default()
     };
     excluded.full.push(slow_target.node.clone());
-    let second = choose_target(context, call, &mut excluded)?;
+    let second = choose_target(context, call, &mut excluded).ok()?;
     let is_other = second.node != slow_target.node && !excluded.last_round;
     let now = Instant::now();
     (is_other && context.budgets.lock().spend(&call.service, now)).then_some(second)
--- a/src/mesh/entry/choice.rs
+++ b/src/mesh/entry/choice.rs
@@ -1,21 +1,48 @@
 //! Selection of the target of an attempt, among those whose version may receive the call.
 
 use {
-    super::history::AttemptHistory,
+    super::{NOT_READY_RETRY_AFTER, history::AttemptHistory},
     crate::{
         ids::NodeId,
         membership::TargetEndpoint,
         mesh::{
             context::MeshContext, entry_call::EntryCall, exposure_limit::MoveKnowledge,
-            target_selection::CallNeeds,
+            refusal::MeshRefusal, target_selection::CallNeeds,
         },
     },
     std::time::Instant,
+    thiserror::Error,
 };
 
 /// Draw above every share, which never selects the candidate of a move.
 const NO_CANDIDATE_DRAW: u32 = 1000;
 
+/// Reason for which no target can be selected.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub(super) enum ChoiceError {
+    /// No target is known that may receive the call and has not been tried.
+    #[error("no target")]
+    NoTarget,
+    /// All targets that may receive the call are in drained failure domains.
+    #[error("all targets are in drained failure domains")]
+    DomainDrained,
+}
+
+impl ChoiceError {
+    /// Returns whether a target is not expected within the short wait of a call.
+    pub(super) fn is_final(&self) -> bool {
+        *self == Self::DomainDrained
+    }
+
+    /// Returns the refusal of a call that was sent to no target.
+    pub(super) fn refusal(self) -> MeshRefusal {
+        match self {
+            Self::NoTarget => MeshRefusal::not_run("no-target", NOT_READY_RETRY_AFTER),
+            Self::DomainDrained => MeshRefusal::domain_drained(),
+        }
+    }
+}
+
 /// Returns the number that selects the version of a call: that of the call, or one that never selects the candidate
 /// while the limit of calls to it is reached.
 fn version_draw(context: &MeshContext, call: &EntryCall) -> u32 {
@@ -39,20 +66,45 @@
     }
 }
 
+/// Returns the targets that may receive the call: those of its version outside of the drained failure domains.
+fn eligible_targets(
+    context: &MeshContext,
+    call: &EntryCall,
+    draw: u32,
+) -> Result<Vec<TargetEndpoint>, ChoiceError> {
+    let mut targets = context.board.members.lock().targets_of(&call.service);
+    let mut moves = context.board.moves.lock();
+    let drains = context.board.drains.lock();
+    if drains.active_count() == 0 {
+        return Ok(moves.eligible(&call.service, targets, draw));
+    }
+    let is_open = |target: &TargetEndpoint| !drains.is_drained(&target.domain);
+    let has_drained = !targets.iter().all(is_open);
+    let eligible = if moves.view(&call.service.service).is_some() {
+        targets.retain(is_open);
+        moves.eligible(&call.service, targets, draw)
+    } else {
+        // Without a move, the version is chosen among all targets: a drain must not make another version the stable one.
+        let mut eligible = moves.eligible(&call.service, targets, draw);
+        eligible.retain(is_open);
+        eligible
+    };
+    match eligible.is_empty() && has_drained {
+        true => Err(ChoiceError::DomainDrained),
+        false => Ok(eligible),
+    }
+}
+
 /// Selects the target of the next attempt. Once all targets have refused as full, they may be selected once more, and
 /// then accept any wait within the latency objective.
 pub(super) fn choose_target(
     context: &MeshContext,
     call: &EntryCall,
     history: &mut AttemptHistory,
-) -> Option<TargetEndpoint> {
-    let targets = context.board.members.lock().targets_of(&call.service);
+) -> Result<TargetEndpoint, ChoiceError> {
     let draw = version_draw(context, call);
-    let eligible = context
-        .board
-        .moves
-        .lock()
-        .eligible(&call.service, targets, draw);
+    let mut eligible = eligible_targets(context, call, draw)?;
+    eligible.retain(|target| !history.drained.contains(&target.domain));
     let excluded: Vec<NodeId> = match history.last_round {
         true => history.tried.clone(),
         false => history.tried.iter().chain(&history.full).cloned().collect(),
@@ -77,5 +129,5 @@
         history.last_round = true;
         return choose_target(context, call, history);
     }
-    chosen
+    chosen.ok_or(ChoiceError::NoTarget)
 }
--- a/src/mesh/entry/history.rs
+++ b/src/mesh/entry/history.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        ids::NodeId,
+        ids::{DomainName, NodeId},
         membership::TargetEndpoint,
-        mesh::refusal::{ExecutionStatus, MeshRefusal, WholeBody},
+        mesh::refusal::{DOMAIN_DRAINED_REASON, ExecutionStatus, MeshRefusal, WholeBody},
     },
     http::Response,
 };
@@ -16,6 +16,8 @@
     pub(super) tried: Vec<NodeId>,
     /// Nodes that refused because their expected wait was too long; they are tried once more in the last round.
     pub(super) full: Vec<NodeId>,
+    /// Failure domains that a node refused as drained, which this node had not heard of.
+    pub(super) drained: Vec<DomainName>,
     /// Attempts whose request may have reached a target.
     pub(super) arrivals: u32,
     /// Attempts started, counting those that a node refused.
@@ -48,6 +50,9 @@
             true => self.full.push(target.node.clone()),
             false => self.tried.push(target.node.clone()),
         }
+        if refusal.reason == DOMAIN_DRAINED_REASON {
+            self.drained.push(target.domain.clone());
+        }
         self.refusal = Some(refusal);
         arrived
     }
--- a/src/mesh/port.rs
+++ b/src/mesh/port.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         config::ConfigSnapshot,
+        domain_drain::DomainDrain,
         ids::{DomainName, NodeId, ServiceName, VersionName},
     },
     futures::future::BoxFuture,
@@ -110,6 +111,10 @@
     pub config: Option<ConfigSnapshot>,
     /// Move orders among them.
     pub moves: Vec<MoveOrder>,
+    /// Drains of failure domains that were ordered or ended among them.
+    pub drains: Vec<DomainDrain>,
+    /// Whether this is the whole table and not only its changes: drains that it does not name have ended.
+    pub is_complete: bool,
     /// Position from which to continue reading.
     pub position: FeedPosition,
     /// The store's clock at the time of the answer.
--- a/src/mesh/refusal.rs
+++ b/src/mesh/refusal.rs
@@ -9,9 +9,15 @@
     std::{borrow::Cow, time::Duration},
 };
 
+/// Reason code of refusals because of a drained failure domain.
+pub const DOMAIN_DRAINED_REASON: &str = "domain-drained";
+
 /// `Retry-After` of a node that is about to stop.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` while all targets of a service are in drained failure domains, which an operator ends.
+const DRAINED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Body of a request or response that is held in memory as a whole.
 pub type WholeBody = Full<Bytes>;
 
@@ -57,6 +63,11 @@
         Self::not_run("node-stopping", STOPPING_RETRY_AFTER)
     }
 
+    /// Returns the refusal of a call to a target in a drained failure domain.
+    pub fn domain_drained() -> Self {
+        Self::not_run(DOMAIN_DRAINED_REASON, DRAINED_RETRY_AFTER)
+    }
+
     /// Returns the error of a request that may have run.
     pub fn unknown(status: StatusCode, reason: &'static str) -> Self {
         Self {
--- a/src/mesh/startup_wait.rs
+++ b/src/mesh/startup_wait.rs
@@ -27,16 +27,19 @@
     matches!(waited, Ok(Ok(_)))
 }
 
-/// Calls `select` until it returns a target, the call has waited long enough, or it can't end before the node exits.
-pub async fn wait_for_target<T>(
+/// Calls `select` until it returns a target or an error that `is_final`, the call has waited long enough, or it can't
+/// end before the node exits.
+pub async fn wait_for_target<T, E>(
     context: &MeshContext,
     call: &EntryCall,
-    mut select: impl FnMut() -> Option<T>,
-) -> Option<T> {
+    mut select: impl FnMut() -> Result<T, E>,
+    is_final: impl Fn(&E) -> bool,
+) -> Result<T, E> {
     let until = Instant::now() + call.route.latency_objective.mul_f64(TARGET_WAIT_FRACTION);
     loop {
         let found = select();
-        if found.is_some() || Instant::now() >= until || !context.shutdown.can_end(call.deadline) {
+        let has_ended = found.as_ref().map_or_else(&is_final, |_| true);
+        if has_ended || Instant::now() >= until || !context.shutdown.can_end(call.deadline) {
             return found;
         }
         sleep(TARGET_POLL_PERIOD).await;
--- a/src/mesh/store_feed.rs
+++ b/src/mesh/store_feed.rs
@@ -1,9 +1,10 @@
-//! Follows two tables of the store: that in which the operator writes configurations and move orders, and that of the
-//! progress of moves.
+//! Follows two tables of the store: that in which the operator writes configurations, move orders and drains, and that
+//! of the progress of moves.
 
 use {
     super::{
         context::MeshContext,
+        drain_orders::apply_store_drains,
         move_driver::watcher_rank,
         port::{FeedPosition, MoveBatch, OrderBatch, PlatformPort, PortError},
         store_reader::{FOLLOWER_RETRY_PERIOD, ReadSchedule, check_delay, is_overdue, is_reader},
@@ -110,7 +111,7 @@
     }
 }
 
-/// Applies the configurations and move orders that the operator writes, while this node is a reader of the store;
+/// Applies the configurations, move orders and drains that the operator writes, while this node is a reader of the store;
 /// runs until it is dropped.
 pub async fn follow_orders(context: Arc<MeshContext>, port: PlatformPort, clock: Arc<StoreClock>) {
     let mut backoff = StoreBackoff::new("orders");
@@ -192,6 +193,8 @@
             );
         }
     }
+    let complete_at = batch.is_complete.then_some(batch.position);
+    apply_store_drains(context, batch.drains, complete_at);
     context.publish_moves();
 }
 
--- a/src/mesh/store_reader.rs
+++ b/src/mesh/store_reader.rs
@@ -22,6 +22,9 @@
 //! | connection, read and change of the configuration | 100 |
 //! | sum | 1800 |
 //!
+//! A drain of a failure domain is read from the same table and changes the choice of targets and the admission in the
+//! same step, so the sum is that of a drain as well; its bound (`evacS`) is 5 s.
+//!
 //! A node counts as in touch `healthyS`, at least 3 s, after a disturbance has ended. Its last read may have begun
 //! during the disturbance. It ends after at most 1500 ms, and the next one follows within `FOLLOWER_RETRY_PERIOD` of
 //! its beginning or, on a reader, within 1000 ms of its end: 2500 ms and one read. A long poll (at most 2275 ms and
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -99,7 +99,7 @@
         let wait = context.queue.load().expected_wait();
         match refusal {
             AdmissionRefusal::Full => MeshRefusal::not_run("full", wait),
-            AdmissionRefusal::Closed => target_leaving(),
+            AdmissionRefusal::Closed => closed_refusal(context),
         }
     })?;
     // The target may have left or been replaced at its address while the call was waiting.
@@ -138,13 +138,21 @@
     let reading = read_whole(body, MAX_REQUEST_BYTES, &context.held_bytes);
     let reading = timeout_at(deadline.into(), reading);
     let content = withdrawn.run_until_cancelled(reading).await;
-    let content = content.ok_or_else(target_leaving)?;
+    let content = content.ok_or_else(|| closed_refusal(context))?;
     content
         .ok()
         .and_then(Result::ok)
         .ok_or_else(|| MeshRefusal::not_run("body-missing", UNREACHABLE_RETRY_AFTER))
 }
 
+/// Returns the refusal of a call whose admission was closed or withdrawn.
+fn closed_refusal(context: &MeshContext) -> MeshRefusal {
+    match context.is_domain_drained() {
+        true => MeshRefusal::domain_drained(),
+        false => target_leaving(),
+    }
+}
+
 fn target_leaving() -> MeshRefusal {
     MeshRefusal::not_run("target-leaving", UNREACHABLE_RETRY_AFTER)
 }
@@ -191,6 +199,9 @@
     if report.draining {
         return Err(target_leaving());
     }
+    if context.is_domain_drained() {
+        return Err(MeshRefusal::domain_drained());
+    }
     Ok(report.instance.clone())
 }
 
@@ -270,6 +281,7 @@
         Err(_) => return Err(record_timeout(trace)),
         Ok(Err(error)) => {
             let withdrawn = permit.withdrawn.is_cancelled();
+            let withdrawn = withdrawn.then(|| closed_refusal(context));
             return Err(record_exchange_error(trace, &error, withdrawn));
         }
         Ok(Ok(answer)) => answer,
@@ -312,16 +324,14 @@
 fn record_exchange_error(
     trace: ExchangeTrace,
     error: &ExchangeError,
-    withdrawn: bool,
+    withdrawn: Option<MeshRefusal>,
 ) -> MeshRefusal {
     match error.outcome {
-        AttemptOutcome::NotRun if withdrawn => {
-            trace.end_not_run();
-            target_leaving()
-        }
         AttemptOutcome::NotRun => {
             trace.end_not_run();
-            MeshRefusal::not_run("target-unreachable", UNREACHABLE_RETRY_AFTER)
+            withdrawn.unwrap_or_else(|| {
+                MeshRefusal::not_run("target-unreachable", UNREACHABLE_RETRY_AFTER)
+            })
         }
         AttemptOutcome::Unknown | AttemptOutcome::ServerError => {
             trace.end(true);
--- a/src/mesh/target_check.rs
+++ b/src/mesh/target_check.rs
@@ -75,7 +75,9 @@
             context.registry.lock().release_empty();
             return;
         }
-        let Some((instance, path)) = target_to_check(&context) else {
+        // A health check is sent to the target as well, so it waits for the end of a drain.
+        let target = target_to_check(&context).filter(|_| !context.is_domain_drained());
+        let Some((instance, path)) = target else {
             sleep(LOOK_PERIOD).await;
             continue;
         };
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -114,6 +114,7 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     config_version: Gauge<u64>,
+    drained_domains: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -143,6 +144,7 @@
             retries: counter(&meter, "poplarwing_retries", "Calls sent again."),
             refusals: counter(&meter, "poplarwing_refusals", "Calls refused, by reason."),
             config_version: config_version_gauge(&meter),
+            drained_domains: drained_domains_gauge(&meter),
         })
     }
 
@@ -206,6 +208,11 @@
         self.config_version.record(version, &[]);
     }
 
+    /// Sets the number of drained failure domains that this node knows of.
+    pub fn set_drained_domains(&self, count: usize) {
+        self.drained_domains.record(count as u64, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format, or a comment line with the error if they
     /// cannot be encoded.
     pub fn render(&self) -> String {
@@ -268,6 +275,13 @@
         .build()
 }
 
+fn drained_domains_gauge(meter: &Meter) -> Gauge<u64> {
+    let builder = meter.u64_gauge("poplarwing_drained_domains");
+    builder
+        .with_description("Drained failure domains that this node knows of.")
+        .build()
+}
+
 fn register_share_gauge(meter: &Meter, shares: Arc<Mutex<Vec<VersionShare>>>) {
     let builder = meter.u64_observable_gauge("poplarwing_version_share_permille");
     builder
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -46,7 +46,7 @@
     #[prost(uint64, tag = "1")]
     pub clock_ms: u64,
     /// Sum of the revisions of the moves that the sender has, both as ordered by the operator and as last recorded in
-    /// the store; grows with each new revision.
+    /// the store, and of the digest of its drains (`domain_drain::DomainDrains::digest`); grows with each new revision.
     #[prost(uint64, tag = "2")]
     pub moves_digest: u64,
     /// Time in milliseconds that has passed since `clock_ms` when the packet is sent; 0 from a sender that does not
@@ -376,12 +376,16 @@
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct MovesAsk {}
 
-/// Response to `MovesAsk`: all moves that the responding node has.
+/// Response to `MovesAsk`: all moves and drains of failure domains that the responding node has.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct MovesReply {
     /// `mesh::move_table::MoveSnapshot` as JSON.
     #[prost(bytes = "vec", tag = "1")]
     pub json: Vec<u8>,
+    /// Array of `domain_drain::DomainDrain` as JSON; empty if the node knows of none. Nodes that know no drains refuse
+    /// unknown fields of `json`, so these have a field of their own.
+    #[prost(bytes = "vec", tag = "2")]
+    pub drains_json: Vec<u8>,
 }
 
 /// Response to `EvidenceAsk`: outcome counters of the responding node's own target.
