Add the pace of requests to a cold target

A target that starts during traffic tolerates few requests a second and ends when it gets its old share at once.

--- /dev/null
+++ b/src/balancing.rs
@@ -0,0 +1,3 @@
+//! Decisions about how much work a target gets. The modules are free of I/O and clocks: the caller passes the time.
+
+pub mod warmup_pace;
