Limit calls to cold targets at their nodes and avoid them at entry

Cause: the warm-up of heartbeats was decoded and used by nothing.

Change: admission asks the pace before it gives a slot and refuses as cold, not run, with the time at which there is room. A target counts as in doubt after a start of its node, a failed connect, silence and a new start, until a health check tells. The load header of a hop tells how cold a target is; entry nodes avoid it after a refusal for a random time and prefer targets known to be warm after two refusals.

Existing tests: the fixtures of mesh_choice, mesh_node, the fake fleet and the fake target have new fields; no check is changed.

--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -3,21 +3,26 @@
 //! A target never runs more calls than it has slots. Further calls wait in this queue, where they are ordered by
 //! priority and latency objective, and can be refused with certainty that they have not run.
 
+mod average_time;
+mod load;
+mod pace_control;
+mod waiting_call;
+
+pub use self::load::{ColdLoad, TargetLoad};
+
 use {
-    crate::ids::RouteName,
+    self::{average_time::AverageTime, waiting_call::QueuedCall},
+    crate::{balancing::warmup_pace::WarmupPace, ids::RouteName},
     parking_lot::Mutex,
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::oneshot, time::timeout_at},
+    tokio::sync::{Notify, oneshot},
     tokio_util::sync::CancellationToken,
 };
 
-/// Least weight of the newest sample in an average of service times.
-const SERVICE_TIME_WEIGHT: f64 = 0.08;
-
 /// Service time reported to other nodes before the first call has ended.
 const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(100);
 
@@ -46,31 +51,11 @@
     Full,
     /// The target accepts no new calls.
     Closed,
-}
-
-/// Load of a target as measured by the node beside it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct TargetLoad {
-    /// Calls that are running at the target.
-    pub running: u32,
-    /// Calls that are waiting in the queue of its node.
-    pub waiting: u32,
-    /// Calls that the target can run at once.
-    pub slots: u32,
-    /// Average service time over all routes; while all slots are taken, at least the mean age of the running calls.
-    pub service_time: Duration,
-    /// Average service time of the route that the load is reported for.
-    pub route_time: Duration,
-}
-
-impl TargetLoad {
-    /// Returns the expected wait of one more call for a slot.
-    pub fn expected_wait(&self) -> Duration {
-        let slots = self.slots.max(1);
-        let ahead = (self.running + self.waiting + 1).saturating_sub(slots);
-        self.service_time
-            .mul_f64(f64::from(ahead) / f64::from(slots))
-    }
+    /// The target is cold and takes no more calls within the limits of this one; `room_in` is the time until it does.
+    Cold {
+        /// Time until one more call may be sent.
+        room_in: Duration,
+    },
 }
 
 /// Sort key of waiting calls: time of the latency objective plus the penalty of the rank, then order of arrival.
@@ -104,6 +89,10 @@
     route_times: HashMap<RouteName, AverageTime>,
     next_sequence: u64,
     closed: bool,
+    /// Limit of what is sent while the target is cold; none if the configuration sets none.
+    pace: Option<WarmupPace>,
+    /// Whether a target counts as in doubt when its limit becomes known.
+    starts_in_doubt: bool,
     /// Cancelled when the queue is closed; each opening after that brings a new one.
     withdrawn: CancellationToken,
 }
@@ -111,10 +100,19 @@
 /// Slots of a target with an ordered queue of waiting calls.
 ///
 /// Invariants: at most `slots` permits are held unless `slots` was reduced meanwhile; `running` and `started_sum`
-/// count the permits that are held or have been sent to a waiting call.
+/// count the permits that are held or have been sent to a waiting call; the pace has counted a request for each.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     state: Arc<Mutex<QueueState>>,
+    signals: Arc<QueueSignals>,
+}
+
+#[derive(Debug, Default)]
+struct QueueSignals {
+    /// Wakes the waiting calls after a change of the pace.
+    pace_changed: Notify,
+    /// Starts a health check of the target.
+    check_wanted: Notify,
 }
 
 /// Permit for one running call; dropping it releases the slot.
@@ -153,10 +151,13 @@
             route_times: HashMap::new(),
             next_sequence: 0,
             closed: false,
+            pace: None,
+            starts_in_doubt: false,
             withdrawn: CancellationToken::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
+            signals: Arc::default(),
         }
     }
 }
@@ -227,7 +228,11 @@
         if state.closed {
             return Err(AdmissionRefusal::Closed);
         }
-        if state.running < state.slots {
+        if !state.waiting.is_empty() {
+            // The pace may have room for calls that wait, which go first.
+            state.admit_next();
+        }
+        if state.running < state.slots && state.try_send(now) {
             state.start(now);
             let permit = SlotPermit {
                 state: self.state.clone(),
@@ -239,10 +244,14 @@
         let sort_time = now + request.time_to_objective + RANK_PENALTY * request.rank;
         let assumed = request.time_to_objective.mul_f64(ASSUMED_SERVICE_FRACTION);
         let service_time = state.route_time(request.route, assumed);
-        let finish = state.expected_wait(sort_time, assumed) + service_time;
+        let slot_wait = state.expected_wait(sort_time, assumed);
+        let pace_wait = state.pace_wait(&(sort_time, u64::MAX), now);
         let left = request.deadline.saturating_duration_since(now);
-        if finish > request.finish_within.min(left) {
-            return Err(AdmissionRefusal::Full);
+        if slot_wait.max(pace_wait) + service_time > request.finish_within.min(left) {
+            return Err(match pace_wait > slot_wait {
+                true => AdmissionRefusal::Cold { room_in: pace_wait },
+                false => AdmissionRefusal::Full,
+            });
         }
         let sequence = state.next_sequence;
         state.next_sequence += 1;
@@ -258,6 +267,7 @@
         );
         Ok(Admission::Waiting(QueuedCall {
             state: self.state.clone(),
+            signals: self.signals.clone(),
             key,
             latest_start,
             admitted,
@@ -275,6 +285,7 @@
             slots: self.slots,
             service_time: mean.max(self.mean_age_if_full()),
             route_time: mean,
+            cold: self.cold_load(),
         }
     }
 
@@ -316,12 +327,16 @@
     fn admit_next(&mut self) {
         let now = Instant::now();
         while self.running < self.slots {
-            let Some((_, waiter)) = self.waiting.pop_first() else {
+            let Some((key, waiter)) = self.waiting.pop_first() else {
                 return;
             };
-            if waiter.latest_start < now {
+            if waiter.latest_start < now || waiter.admit.is_closed() {
                 continue;
             }
+            if !self.try_send(now) {
+                self.waiting.insert(key, waiter);
+                return;
+            }
             let grant = SlotGrant {
                 started: now,
                 withdrawn: self.withdrawn.clone(),
@@ -362,76 +377,11 @@
     }
 }
 
-/// Average of durations: arithmetic mean of the first samples, then exponentially weighted.
-#[derive(Clone, Copy, Debug, Default)]
-struct AverageTime {
-    seconds: f64,
-    count: u32,
-}
-
-impl AverageTime {
-    fn add(&mut self, newest: Duration) {
-        self.count = self.count.saturating_add(1);
-        let weight = SERVICE_TIME_WEIGHT.max(1.0 / f64::from(self.count));
-        self.seconds += weight * (newest.as_secs_f64() - self.seconds);
-    }
-
-    fn mean_or(&self, assumed: Duration) -> Duration {
-        match self.count {
-            0 => assumed,
-            _ => Duration::from_secs_f64(self.seconds),
-        }
-    }
-}
-
 enum Admission {
     Admitted(SlotPermit),
     Waiting(QueuedCall),
 }
 
-/// A call in the queue; dropping it removes the call, for instance when the caller disconnects.
-struct QueuedCall {
-    state: Arc<Mutex<QueueState>>,
-    key: WaiterKey,
-    latest_start: Instant,
-    admitted: oneshot::Receiver<SlotGrant>,
-    resolved: bool,
-}
-
-impl QueuedCall {
-    /// Waits for a slot until the latest start. The caller then gets a refusal that says truthfully that the call has
-    /// not run, also if the running calls hold their slots for longer.
-    async fn wait(mut self) -> Result<SlotPermit, AdmissionRefusal> {
-        let granted = match timeout_at(self.latest_start.into(), &mut self.admitted).await {
-            Ok(granted) => granted,
-            // Dropping the call removes it from the queue, or gives back a slot granted meanwhile.
-            Err(_) => return Err(AdmissionRefusal::Full),
-        };
-        self.resolved = true;
-        let grant = granted.map_err(|_| AdmissionRefusal::Full)?;
-        Ok(SlotPermit {
-            state: self.state.clone(),
-            started: grant.started,
-            withdrawn: grant.withdrawn,
-        })
-    }
-}
-
-impl Drop for QueuedCall {
-    fn drop(&mut self) {
-        if self.resolved {
-            return;
-        }
-        let mut state = self.state.lock();
-        state.waiting.remove(&self.key);
-        // The slot may have been granted between the last poll and the drop.
-        if let Ok(grant) = self.admitted.try_recv() {
-            state.stop(grant.started);
-            state.admit_next();
-        }
-    }
-}
-
 impl Drop for SlotPermit {
     fn drop(&mut self) {
         let mut state = self.state.lock();
--- a/src/mesh/attempt.rs
+++ b/src/mesh/attempt.rs
@@ -9,8 +9,8 @@
         http::read_whole,
         move_table::MoveView,
         refusal::{ExecutionStatus, MeshRefusal, WholeBody},
-        target::{CallBody, MAX_ANSWER_BYTES, forwarded_headers, run_at_target},
-        target_selection::TargetOutcome,
+        target::{COLD_REASON, CallBody, MAX_ANSWER_BYTES, forwarded_headers, run_at_target},
+        target_selection::{TargetOutcome, cold_pause},
     },
     crate::{
         ids::{NodeId, RouteName},
@@ -102,7 +102,7 @@
     } else {
         send_hop(context, call, target, metadata).await
     };
-    guard.end(target_outcome(&result), load);
+    guard.end(target_outcome(&result, load.as_ref()), load);
     result
 }
 
@@ -117,12 +117,21 @@
     }
 }
 
-fn target_outcome(result: &Result<Response<WholeBody>, MeshRefusal>) -> TargetOutcome {
+fn target_outcome(
+    result: &Result<Response<WholeBody>, MeshRefusal>,
+    load: Option<&TargetLoad>,
+) -> TargetOutcome {
     match result {
         Ok(response) if response.status().is_server_error() => TargetOutcome::Failed,
         Ok(_) => TargetOutcome::Answered,
         Err(refusal) => match refusal.reason.as_ref() {
             "full" => TargetOutcome::Full,
+            COLD_REASON => {
+                let room_in = refusal.retry_after.unwrap_or_default();
+                let cold = load.and_then(|load| load.cold);
+                let left = cold.map_or(Duration::ZERO, |cold| cold.left);
+                TargetOutcome::Cold(cold_pause(room_in, left, &mut rand::rng()))
+            }
             "deadline" | "target-shed" => TargetOutcome::Failed,
             "body-missing" => TargetOutcome::Neutral,
             _ if refusal.execution == ExecutionStatus::NotRun => TargetOutcome::Unreachable,
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -75,13 +75,18 @@
         let exposure = ExposureLimits::new(&settings.bounds);
         let held_bytes = HeldBytes::new(settings.body_memory);
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
+        let queue = AdmissionQueue::default();
+        // At the first start of the fleet, the targets have been started before the calls.
+        if !settings.first_start {
+            queue.start_in_doubt();
+        }
         Self {
             settings,
             board,
             gossip,
             metrics,
             registry: Mutex::new(registry),
-            queue: AdmissionQueue::default(),
+            queue,
             target,
             held_bytes,
             hops: HopClient::default(),
@@ -101,6 +106,7 @@
     pub fn publish_target(&self) {
         let _announcing = self.announcing.lock();
         let leaving = self.is_leaving();
+        self.apply_warmup_limit();
         let record = {
             let registry = self.registry.lock();
             match registry.current().filter(|report| !report.draining) {
--- a/src/mesh/entry/history.rs
+++ b/src/mesh/entry/history.rs
@@ -4,7 +4,10 @@
     crate::{
         ids::NodeId,
         membership::TargetEndpoint,
-        mesh::refusal::{ExecutionStatus, MeshRefusal, WholeBody},
+        mesh::{
+            refusal::{ExecutionStatus, MeshRefusal, WholeBody},
+            target::COLD_REASON,
+        },
     },
     http::Response,
 };
@@ -14,7 +17,7 @@
 pub(super) struct AttemptHistory {
     /// Nodes that are not selected again.
     pub(super) tried: Vec<NodeId>,
-    /// Nodes that refused because their expected wait was too long; they are tried once more in the last round.
+    /// Nodes that refused because their expected wait was too long or their target is cold; they are tried once more in the last round.
     pub(super) full: Vec<NodeId>,
     /// Attempts whose request may have reached a target.
     pub(super) arrivals: u32,
@@ -44,7 +47,8 @@
             refusal.execution == ExecutionStatus::Unknown || refusal.reason == "target-shed";
         self.arrivals += u32::from(arrived);
         self.may_have_run |= refusal.execution == ExecutionStatus::Unknown;
-        match refusal.reason == "full" && !self.last_round {
+        let has_no_room = refusal.reason == "full" || refusal.reason == COLD_REASON;
+        match has_no_room && !self.last_round {
             true => self.full.push(target.node.clone()),
             false => self.tried.push(target.node.clone()),
         }
--- a/src/mesh/hop.rs
+++ b/src/mesh/hop.rs
@@ -1,7 +1,7 @@
 //! A hop: the entry node forwards a call to the node beside a target. Headers of both directions and the client.
 
 use {
-    super::admission::TargetLoad,
+    super::admission::{ColdLoad, TargetLoad},
     crate::{
         config::ServiceKey,
         ids::{RouteName, ServiceName, VersionName},
@@ -34,7 +34,8 @@
 pub const EXECUTION_HEADER: HeaderName = HeaderName::from_static("poplarwing-hop-fate");
 
 /// Response header with the load of the target: running calls, waiting calls, slots, then the average service time of
-/// all calls and of the route in microseconds.
+/// all calls and of the route in microseconds. For a cold target, these follow: the time for which it is cold, the time
+/// between two calls at its present rate, and the time until it may get one more call, in microseconds.
 pub const LOAD_HEADER: HeaderName = HeaderName::from_static("poplarwing-hop-load");
 
 /// Time limit for connecting to another node.
@@ -89,10 +90,15 @@
 pub fn set_load(headers: &mut HeaderMap, load: &TargetLoad) {
     let (service_micros, route_micros) =
         (load.service_time.as_micros(), load.route_time.as_micros());
-    let text = format!(
+    let mut text = format!(
         "{},{},{},{service_micros},{route_micros}",
         load.running, load.waiting, load.slots
     );
+    if let Some(cold) = &load.cold {
+        for time in [cold.left, cold.interval, cold.room_in] {
+            text.push_str(&format!(",{}", time.as_micros()));
+        }
+    }
     if let Ok(value) = HeaderValue::from_str(&text) {
         headers.insert(LOAD_HEADER, value);
     }
@@ -109,6 +115,16 @@
         slots: u32::try_from(next()?).ok()?,
         service_time: Duration::from_micros(next()?),
         route_time: Duration::from_micros(next()?),
+        cold: take_cold(&mut next),
+    })
+}
+
+/// Reads the numbers of a cold target; none if they are missing, as for a warm target or one whose node is older.
+fn take_cold(next: &mut impl FnMut() -> Option<u64>) -> Option<ColdLoad> {
+    Some(ColdLoad {
+        left: Duration::from_micros(next()?),
+        interval: Duration::from_micros(next()?),
+        room_in: Duration::from_micros(next()?),
     })
 }
 
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -16,6 +16,7 @@
         store_feed::{StoreClock, follow_moves, follow_orders},
         target::answer_hop,
         target_check::confirm_target,
+        target_warmup::{WarmupWatch, check_doubted_target},
     },
     crate::{
         blackboard::Blackboard,
@@ -254,9 +255,13 @@
     spawn_task(&mut tasks, "move driver", run_until(background, driver));
     let peers = discover_peers(context.clone(), port.clone());
     spawn_task(&mut tasks, "peers", run_until(background, peers));
-    let (watched, checked) = (context.clone(), context.clone());
+    let (watched, checked, doubted) = (context.clone(), context.clone(), context.clone());
     let watch = async move {
-        tokio::join!(watch_target(watched), confirm_target(checked));
+        tokio::join!(
+            watch_target(watched),
+            confirm_target(checked),
+            check_doubted_target(doubted)
+        );
     };
     spawn_task(&mut tasks, "target watch", run_until(background, watch));
     tasks
@@ -385,14 +390,15 @@
     let now = Instant::now();
     let (before, departed_at, outcome) = {
         let mut registry = context.registry.lock();
-        let before = registry
-            .current()
-            .map(|known| (known.instance.clone(), known.draining));
-        (before, registry.departed_at(), registry.apply(report, now))
+        let before = registry.current().cloned();
+        let departed_at = registry.departed_at();
+        (before, departed_at, registry.apply(report.clone(), now))
     };
     let since_departure_ms =
         departed_at.map(|at| now.saturating_duration_since(at).as_millis() as u64);
-    let changed = before != Some((instance.clone(), draining));
+    let changed = before
+        .as_ref()
+        .is_none_or(|known| known.instance != instance || known.draining != draining);
     if changed || outcome != ReportOutcome::Taken {
         info!(
             decision = "registry", instance, draining, sequence, born_ms, since_departure_ms,
@@ -400,6 +406,11 @@
         );
     }
     if outcome == ReportOutcome::Taken {
+        let is_new_start =
+            before.is_some_and(|known| known.instance != instance || known.born_ms != born_ms);
+        // Before the target is used, so that a cold one gets no more than it may.
+        context.apply_warmup_limit();
+        context.apply_heartbeat_warmup(&report, is_new_start);
         context.publish_target();
     }
 }
@@ -407,6 +418,7 @@
 /// Withdraws a target whose heartbeats have stopped, and applies changes of the number of nodes and connections.
 async fn watch_target(context: Arc<MeshContext>) {
     let started = Instant::now();
+    let mut warmup = WarmupWatch::default();
     loop {
         sleep(CHECK_PERIOD).await;
         if context.registry.lock().expire(Instant::now()) {
@@ -416,7 +428,10 @@
                 "target withdrawn"
             );
             context.publish_target();
+            context.doubt_target("silent");
         }
+        context.apply_warmup_limit();
+        warmup.look(&context);
         let nodes = {
             let members = context.board.members.lock();
             let alive = members
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -107,6 +107,8 @@
     pub expected_instance: HeaderName,
     /// Set on a response if the target did not run the request.
     pub not_run: HeaderName,
+    /// Warm-up time left in milliseconds, in the response to a health check.
+    pub warmup: HeaderName,
     /// Service that makes the call.
     pub caller: HeaderName,
 }
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -44,6 +44,9 @@
 /// Interim responses (status 1xx) of the target to one request after which the exchange is abandoned.
 const MAX_INTERIM_ANSWERS: usize = 8;
 
+/// Reason of the refusal of a call that a cold target may not get.
+pub const COLD_REASON: &str = "cold";
+
 /// `Retry-After` when the target is missing, leaving or not reachable.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -95,11 +98,14 @@
         () = context.shutdown.refuses_waiting(deadline) => return Err(MeshRefusal::stopping()),
         admitted = context.queue.acquire(slot_request) => admitted,
     };
-    let permit = admitted.map_err(|refusal| {
-        let wait = context.queue.load().expected_wait();
-        match refusal {
-            AdmissionRefusal::Full => MeshRefusal::not_run("full", wait),
-            AdmissionRefusal::Closed => target_leaving(),
+    let permit = admitted.map_err(|refusal| match refusal {
+        AdmissionRefusal::Full => {
+            MeshRefusal::not_run("full", context.queue.load().expected_wait())
+        }
+        AdmissionRefusal::Closed => target_leaving(),
+        AdmissionRefusal::Cold { room_in } => {
+            context.metrics.count_cold_refusal();
+            MeshRefusal::not_run(COLD_REASON, room_in)
         }
     })?;
     // The target may have left or been replaced at its address while the call was waiting.
@@ -270,6 +276,9 @@
         Err(_) => return Err(record_timeout(trace)),
         Ok(Err(error)) => {
             let withdrawn = permit.withdrawn.is_cancelled();
+            if !withdrawn {
+                doubt_after_error(context, &error);
+            }
             return Err(record_exchange_error(trace, &error, withdrawn));
         }
         Ok(Ok(answer)) => answer,
@@ -304,6 +313,15 @@
     flooded
 }
 
+/// Reacts to an exchange without a response. A target that cannot be reached may have been restarted; one that has broken
+/// off a single exchange seldom has, so it is only checked.
+fn doubt_after_error(context: &MeshContext, error: &ExchangeError) {
+    match error.outcome {
+        AttemptOutcome::NotRun if !error.stale => context.doubt_target("unreachable"),
+        _ => context.queue.request_check(),
+    }
+}
+
 fn record_timeout(trace: ExchangeTrace) -> MeshRefusal {
     trace.end(true);
     MeshRefusal::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline")
--- a/src/mesh/target_selection.rs
+++ b/src/mesh/target_selection.rs
@@ -29,6 +29,21 @@
 /// Longest time for which an unreachable target is avoided.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Least fraction of a target's cold time for which an entry node avoids it after a refusal; the random rest is up to 1.
+const MIN_COLD_PAUSE_FRACTION: f64 = 0.3;
+
+/// Shortest time for which a target is avoided after it refused a call as cold.
+const MIN_COLD_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time for which a target is avoided after it refused a call as cold, also if it reports to be cold for longer.
+const MAX_COLD_PAUSE: Duration = Duration::from_secs(5);
+
+/// Refusals of one call as cold after which it goes to a target that is known to be warm, if there is one.
+const MAX_COLD_REFUSALS: usize = 2;
+
+/// Time for which a report shows that a target is warm.
+const PROVEN_TIME: Duration = Duration::from_secs(2);
+
 /// Fraction by which the expected latency rises from an idle target to one whose slots are all taken, before calls
 /// wait.
 const BUSY_FRACTION: f64 = 0.3;
@@ -82,6 +97,8 @@
     Failed,
     /// The node refused because of the expected wait.
     Full,
+    /// The node refused because its target is cold; the target is to be avoided for this time, see `cold_pause`.
+    Cold(Duration),
     /// The node or its target could not be reached, or accepts no calls.
     Unreachable,
     /// The attempt says nothing about the target, for instance because it was cancelled.
@@ -104,6 +121,8 @@
     /// Attempts in a row that did not reach the target.
     consecutive_misses: u32,
     backoff_until: Option<Instant>,
+    /// End of the time for which the target is avoided because it refused a call as cold.
+    cold_until: Option<Instant>,
 }
 
 impl Default for TargetStats {
@@ -121,10 +140,24 @@
             failure_rate_at: None,
             consecutive_misses: 0,
             backoff_until: None,
+            cold_until: None,
         }
     }
 }
 
+/// Returns the time for which an entry node avoids a target that refused a call as cold, and that has room again in
+/// `room_in` and is cold for `left`.
+///
+/// All entry nodes are refused at nearly the same moment and cannot share what room there is. Each one returns once, at
+/// a time of its own between now and a while after the target is warm, so that its calls rise as it warms.
+pub fn cold_pause(room_in: Duration, left: Duration, rng: &mut impl Rng) -> Duration {
+    let spread = rng.random::<f64>();
+    let until_room = room_in.mul_f64(1.0 + spread);
+    until_room
+        .max(left.mul_f64(MIN_COLD_PAUSE_FRACTION + spread))
+        .clamp(MIN_COLD_PAUSE, MAX_COLD_PAUSE)
+}
+
 /// Load and failures of all targets, keyed by the node beside each.
 ///
 /// Invariant: `in_flight` of a target equals the attempts begun and not yet ended.
@@ -173,9 +206,15 @@
                 stats.record_outcome(0.0, now);
                 stats.consecutive_misses = 0;
                 stats.backoff_until = None;
+                stats.cold_until = None;
             }
             TargetOutcome::Failed => stats.record_outcome(1.0, now),
             TargetOutcome::Unreachable => stats.back_off(now),
+            TargetOutcome::Cold(pause) => {
+                stats.consecutive_misses = 0;
+                stats.backoff_until = None;
+                stats.cold_until = Some(now + pause);
+            }
             TargetOutcome::Full | TargetOutcome::Neutral => {}
         }
     }
@@ -199,8 +238,9 @@
         self.targets.get(node).map(|stats| stats.report)
     }
 
-    /// Returns the untried target with the least expected cost. Targets in backoff are selected only if there is no
-    /// other.
+    /// Returns the untried target with the least expected cost. Targets in backoff, and those that are avoided as cold,
+    /// are selected only if there is no other. A call that several targets have refused as cold prefers targets that have
+    /// reported of late that they are warm.
     pub fn choose<'a>(
         &self,
         candidates: &'a [TargetEndpoint],
@@ -209,24 +249,42 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<&'a TargetEndpoint> {
-        let mut best: Option<(bool, f64, &TargetEndpoint)> = None;
+        let cold_refusals = tried.iter().filter(|node| self.is_cold(node, now)).count();
+        let needs_proof = cold_refusals >= MAX_COLD_REFUSALS;
+        let mut best: Option<(u8, f64, &TargetEndpoint)> = None;
         for candidate in candidates.iter().filter(|c| !tried.contains(&c.node)) {
-            let backing_off = self.is_backing_off(&candidate.node, now);
+            let avoidance = self.avoidance(&candidate.node, needs_proof, now);
             let mut cost = self.cost(candidate, needs, now);
             if &candidate.domain != needs.own_domain {
                 cost += REMOTE_COST + REMOTE_COST_PER_BYTE * needs.body_bytes as f64;
             }
             cost *= 1.0 + JITTER_FRACTION * rng.random::<f64>();
             cost += TIE_COST * rng.random::<f64>();
-            if best.is_none_or(|(best_backing_off, best_cost, _)| {
-                (backing_off, cost) < (best_backing_off, best_cost)
-            }) {
-                best = Some((backing_off, cost, candidate));
+            if best.is_none_or(|(least, best_cost, _)| (avoidance, cost) < (least, best_cost)) {
+                best = Some((avoidance, cost, candidate));
             }
         }
         best.map(|(_, _, candidate)| candidate)
     }
 
+    /// Returns the rank by which targets are avoided: those with the lowest are selected first.
+    fn avoidance(&self, node: &str, needs_proof: bool, now: Instant) -> u8 {
+        if self.is_backing_off(node, now) {
+            return 3;
+        }
+        if self.is_cold(node, now) {
+            return 2;
+        }
+        let stats = self.targets.get(node);
+        u8::from(needs_proof && !stats.is_some_and(|stats| stats.is_proven_warm(now)))
+    }
+
+    /// Returns whether a target is avoided because it refused a call as cold.
+    fn is_cold(&self, node: &str, now: Instant) -> bool {
+        let until = self.targets.get(node).and_then(|stats| stats.cold_until);
+        until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether a target is avoided because it could not be reached.
     pub fn is_backing_off(&self, node: &str, now: Instant) -> bool {
         let until = self.targets.get(node).and_then(|stats| stats.backoff_until);
@@ -247,7 +305,8 @@
         // A target without a service time for the route counts as fast, so that new targets receive calls and their
         // service time becomes known.
         let route_time = reported.map_or(0.0, Duration::as_secs_f64);
-        let latency = route_time * (1.0 + busy_share) + mean_time * wait;
+        let slot_wait = mean_time * wait;
+        let latency = route_time * (1.0 + busy_share) + slot_wait.max(stats.cold_wait(now));
         let lateness = latency / objective;
         let unknown_busy_cost = match reported {
             Some(_) => 0.0,
@@ -271,6 +330,26 @@
         (reported * decay + f64::from(sent)).max(f64::from(self.in_flight))
     }
 
+    /// Returns the expected time in seconds until a cold target may get one more call; zero if it is warm.
+    fn cold_wait(&self, now: Instant) -> f64 {
+        let (Some(cold), Some(reported_at)) = (self.report.cold, self.reported_at) else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(reported_at);
+        if age >= cold.left {
+            return 0.0;
+        }
+        let sent = cold.interval.as_secs_f64() * f64::from(self.sent_since_report);
+        cold.room_in.saturating_sub(age).as_secs_f64() + sent
+    }
+
+    fn is_proven_warm(&self, now: Instant) -> bool {
+        self.report.cold.is_none()
+            && self
+                .reported_at
+                .is_some_and(|at| now.saturating_duration_since(at) < PROVEN_TIME)
+    }
+
     fn record_outcome(&mut self, failed: f64, now: Instant) {
         let before = self.current_failure_rate(now);
         self.failure_rate = before + OUTCOME_WEIGHT * (failed - before);
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -114,6 +114,8 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     config_version: Gauge<u64>,
+    cold_time: Gauge<f64>,
+    cold_refusals: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -143,6 +145,12 @@
             retries: counter(&meter, "poplarwing_retries", "Calls sent again."),
             refusals: counter(&meter, "poplarwing_refusals", "Calls refused, by reason."),
             config_version: config_version_gauge(&meter),
+            cold_time: cold_time_gauge(&meter),
+            cold_refusals: counter(
+                &meter,
+                "poplarwing_cold_refusals",
+                "Calls that the node beside a cold target refused.",
+            ),
         })
     }
 
@@ -206,6 +214,16 @@
         self.config_version.record(version, &[]);
     }
 
+    /// Sets the time for which the target beside this node is expected to be cold; zero if it is warm.
+    pub fn set_cold_time(&self, left: Duration) {
+        self.cold_time.record(left.as_secs_f64(), &[]);
+    }
+
+    /// Counts a call that was refused because the target beside this node is cold.
+    pub fn count_cold_refusal(&self) {
+        self.cold_refusals.add(1, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format, or a comment line with the error if they
     /// cannot be encoded.
     pub fn render(&self) -> String {
@@ -268,6 +286,15 @@
         .build()
 }
 
+fn cold_time_gauge(meter: &Meter) -> Gauge<f64> {
+    let builder = meter
+        .f64_gauge("poplarwing_target_cold_time")
+        .with_unit("s");
+    builder
+        .with_description("Time for which the target beside this node is expected to be cold.")
+        .build()
+}
+
 fn register_share_gauge(meter: &Meter, shares: Arc<Mutex<Vec<VersionShare>>>) {
     let builder = meter.u64_observable_gauge("poplarwing_version_share_permille");
     builder
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -50,6 +50,7 @@
         slots: 6,
         service_time: Duration::from_millis(160),
         route_time: Duration::from_millis(160),
+        cold: None,
     }
 }
 
--- a/tests/support/mesh_node.rs
+++ b/tests/support/mesh_node.rs
@@ -94,6 +94,7 @@
             instance: header("x-own-instance"),
             expected_instance: header("x-instance"),
             not_run: header("x-not-run"),
+            warmup: header("x-warmup"),
             caller: header("x-caller"),
         },
     }
