--- a/tests/mesh_warmup.rs
+++ b/tests/mesh_warmup.rs
@@ -225,3 +225,21 @@
     assert!(!context.queue.is_in_doubt());
     assert!(context.queue.try_check());
 }
+
+/// The metrics must have the names that the operations page gives, and be absent where nothing is limited.
+#[test]
+fn the_metrics_of_cold_targets_have_their_documented_names() {
+    let context = mesh_node::context("first", "bunbury");
+    let before = context.metrics.render();
+
+    context.metrics.set_cold_time(Duration::from_millis(2500));
+    context.metrics.count_cold_refusal();
+
+    let text = context.metrics.render();
+    assert!(!before.contains("cold"), "{before}");
+    assert!(
+        text.contains("poplarwing_target_cold_time_seconds 2.5"),
+        "{text}"
+    );
+    assert!(text.contains("poplarwing_cold_refusals_total 1"), "{text}");
+}
