--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -22,6 +22,9 @@
 /// Connections to the target beside this node until the configuration sets their number.
 const INITIAL_CONNECTIONS: u32 = 32;
 
+/// Reason logged for the doubt of a target that was out of use while its failure domain was drained.
+const DRAIN_ENDED_REASON: &str = "drain ended";
+
 /// Shared state of a node.
 #[derive(Debug)]
 pub struct MeshContext {
@@ -79,13 +82,18 @@
         let exposure = ExposureLimits::new(&settings.bounds);
         let held_bytes = HeldBytes::new(settings.body_memory);
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
+        let queue = AdmissionQueue::default();
+        // At the first start of the fleet, the targets have been started before the calls.
+        if !settings.first_start {
+            queue.start_in_doubt();
+        }
         Self {
             settings,
             board,
             gossip,
             metrics,
             registry: Mutex::new(registry),
-            queue: AdmissionQueue::default(),
+            queue,
             target,
             held_bytes,
             hops: HopClient::default(),
@@ -107,6 +115,7 @@
     pub fn publish_target(&self) {
         let _announcing = self.announcing.lock();
         let leaving = self.is_leaving();
+        self.apply_warmup_limit();
         let record = {
             let registry = self.registry.lock();
             let in_use = registry.current().filter(|report| !report.draining);
@@ -142,8 +151,9 @@
         self.board.drains.lock().is_drained(domain)
     }
 
-    /// Puts the target back into use after the drain of its failure domain has ended.
+    /// Puts the target back into use after the drain of its failure domain has ended. It may have become cold meanwhile.
     pub fn domain_restored(&self) {
+        self.doubt_target(DRAIN_ENDED_REASON);
         info!(
             decision = "drain",
             domain = self.settings.node.failure_domain,
