Bound what clients may take of a node

Clients that send long heads, empty lines without end, or bodies that stop short of their end could fill the memory of a sidecar, and idle connections could take its descriptors. Cause: only single bodies and the sum of long ones were bounded. Each connection kept up to 417 KB of a head, 64 KiB read ahead, 64 KiB of an uncounted body and the read buffers that short frames kept alive; growing buffers were counted by their content; answers were copied into a buffer of the HTTP server; the number of connections was not limited.

Open connections, their buffers and the capacity of body buffers are now charged to the process, with limits from memoryMb and maxFds of the settings. A full process closes the connection that is idle for longest, then the request without progress for longest (408, not run, if its head was complete), and never one that runs. Heads are bounded by the configuration (431, which now arrives although bytes are unread), and its times for heads and idle connections replace the fixed 30 s. The receive buffer of client connections in the kernel is set to 64 KiB.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod call_events;
 pub mod call_evidence;
 pub mod call_proxy;
+pub mod client_limits;
 pub mod config;
 pub mod config_store;
 pub mod config_sync;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod caller_deadline;
+pub mod client_connections;
 pub mod client_io;
 pub mod context;
 pub mod entry;
--- /dev/null
+++ b/src/mesh/client_connections.rs
@@ -0,0 +1,485 @@
+//! Open connections of clients: their charges, progress and closing.
+//!
+//! Lock order: the table of connections, then the state of one connection. Neither is held across an await.
+
+use {
+    crate::{
+        client_limits::{
+            CONNECTION_BYTES, ClientLimits, ConnectionBounds, ConnectionId, ConnectionPhase,
+            ConnectionView, PIPELINE_BYTES, PROGRESS_BYTES, REQUEST_BYTES, SMALL_REQUEST_BYTES,
+            ShedReason, first_to_shed, overdue, slowest_request,
+        },
+        config::IntakeLimits,
+    },
+    parking_lot::Mutex,
+    std::{
+        collections::HashMap,
+        mem,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Instant,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Open connections of clients; clones share them.
+#[derive(Clone, Debug)]
+pub struct ClientConnections {
+    shared: Arc<SharedTable>,
+}
+
+#[derive(Debug)]
+struct SharedTable {
+    limits: ClientLimits,
+    /// Bytes charged; never above `limits.buffer_bytes`. A connection that is being closed is no longer charged,
+    /// although its task may not have ended yet.
+    charged: AtomicUsize,
+    table: Mutex<ConnectionTable>,
+}
+
+#[derive(Debug, Default)]
+struct ConnectionTable {
+    open: HashMap<ConnectionId, Arc<OpenConnection>>,
+    last_id: ConnectionId,
+    bounds: ConnectionBounds,
+    sheds: HashMap<ShedReason, u64>,
+}
+
+#[derive(Debug)]
+struct OpenConnection {
+    id: ConnectionId,
+    shed: CancellationToken,
+    state: Mutex<ConnectionState>,
+}
+
+#[derive(Debug)]
+struct ConnectionState {
+    phase: ConnectionPhase,
+    begun: Instant,
+    progressed: Instant,
+    received: usize,
+    /// Bytes since `progressed`, fewer than `PROGRESS_BYTES`.
+    since_progress: usize,
+    /// Parts of `SharedTable::charged`.
+    charges: ConnectionCharges,
+    /// Whether the client does not take more bytes of an answer at present.
+    write_pending: bool,
+    /// Whether the connection is being closed; it is charged nothing more.
+    closing: bool,
+}
+
+#[derive(Debug, Default)]
+struct ConnectionCharges {
+    connection: usize,
+    request: usize,
+    pipeline: usize,
+}
+
+impl ConnectionCharges {
+    fn total(&self) -> usize {
+        self.connection + self.request + self.pipeline
+    }
+}
+
+impl ConnectionState {
+    fn enter(&mut self, phase: ConnectionPhase, now: Instant) {
+        self.phase = phase;
+        self.begun = now;
+        self.progressed = now;
+        self.since_progress = 0;
+    }
+
+    fn progress(&mut self, length: usize, now: Instant) {
+        self.since_progress += length;
+        if self.since_progress >= PROGRESS_BYTES {
+            self.since_progress = 0;
+            self.progressed = now;
+        }
+    }
+}
+
+impl OpenConnection {
+    fn view(&self) -> ConnectionView {
+        let state = self.state.lock();
+        ConnectionView {
+            id: self.id,
+            // A connection that is being closed must not be chosen again.
+            phase: match state.closing {
+                true => ConnectionPhase::Running,
+                false => state.phase,
+            },
+            begun: state.begun,
+            progressed: state.progressed,
+            received: state.received,
+        }
+    }
+}
+
+impl SharedTable {
+    fn charge(&self, more: usize) -> bool {
+        let limit = self.limits.buffer_bytes;
+        let grow = |charged: usize| charged.checked_add(more).filter(|total| *total <= limit);
+        self.charged
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, grow)
+            .is_ok()
+    }
+
+    fn discharge(&self, less: usize) {
+        self.charged.fetch_sub(less, Ordering::Relaxed);
+    }
+
+    /// Closes a connection and returns its charges; a request that is in progress by now goes on.
+    fn shed(&self, table: &mut ConnectionTable, id: ConnectionId, reason: ShedReason) {
+        let Some(connection) = table.open.get(&id) else {
+            return;
+        };
+        let charges = {
+            let mut state = connection.state.lock();
+            if state.closing || state.phase == ConnectionPhase::Running {
+                return;
+            }
+            state.closing = true;
+            mem::take(&mut state.charges)
+        };
+        connection.shed.cancel();
+        self.discharge(charges.total());
+        *table.sheds.entry(reason).or_default() += 1;
+    }
+
+    /// Closes connections until `more` bytes can be charged; returns false if none is left to close.
+    fn charge_by_shedding(&self, more: usize) -> bool {
+        while !self.charge(more) {
+            let mut table = self.table.lock();
+            let views = table.open.values().map(|connection| connection.view());
+            let Some(id) = first_to_shed(views, Instant::now()) else {
+                return false;
+            };
+            self.shed(&mut table, id, ShedReason::Connections);
+        }
+        true
+    }
+}
+
+impl ClientConnections {
+    /// Returns a table without connections.
+    pub fn new(limits: ClientLimits) -> Self {
+        Self {
+            shared: Arc::new(SharedTable {
+                limits,
+                charged: AtomicUsize::default(),
+                table: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Admits a new connection, and closes others for it if there is no room; none if no other may be closed.
+    pub fn open(&self) -> Option<ClientConnection> {
+        let connection = self.admit();
+        if connection.is_none() {
+            let mut table = self.shared.table.lock();
+            *table.sheds.entry(ShedReason::NotAdmitted).or_default() += 1;
+        }
+        connection
+    }
+
+    fn admit(&self) -> Option<ClientConnection> {
+        let shared = &self.shared;
+        if !shared.charge_by_shedding(CONNECTION_BYTES) {
+            return None;
+        }
+        let now = Instant::now();
+        let mut table = shared.table.lock();
+        // Connections that are being closed still hold their descriptors, so at most one in eight is closed at a time.
+        if table.open.len() >= shared.limits.connections {
+            let views = table.open.values().map(|connection| connection.view());
+            let victim = first_to_shed(views, now);
+            let most = shared.limits.connections + shared.limits.connections / 8;
+            match victim.filter(|_| table.open.len() < most) {
+                Some(id) => shared.shed(&mut table, id, ShedReason::Connections),
+                None => {
+                    shared.discharge(CONNECTION_BYTES);
+                    return None;
+                }
+            }
+        }
+        table.last_id += 1;
+        let connection = Arc::new(OpenConnection {
+            id: table.last_id,
+            shed: CancellationToken::new(),
+            state: Mutex::new(ConnectionState {
+                phase: ConnectionPhase::Idle,
+                begun: now,
+                progressed: now,
+                received: 0,
+                since_progress: 0,
+                charges: ConnectionCharges {
+                    connection: CONNECTION_BYTES,
+                    ..ConnectionCharges::default()
+                },
+                write_pending: false,
+                closing: false,
+            }),
+        });
+        table.open.insert(connection.id, connection.clone());
+        let head_bytes = table.bounds.head_bytes;
+        Some(ClientConnection {
+            handle: Arc::new(ConnectionHandle {
+                shared: shared.clone(),
+                connection,
+                head_bytes,
+            }),
+        })
+    }
+
+    /// Applies the limits of the configuration to all connections; those on heads hold for new connections.
+    pub fn set_intake(&self, intake: Option<&IntakeLimits>) {
+        self.shared.table.lock().bounds = intake.map_or_else(ConnectionBounds::default, |limits| {
+            ConnectionBounds::configured(
+                limits.header_bytes as usize,
+                limits.header_timeout,
+                limits.idle_timeout,
+            )
+        });
+    }
+
+    /// Closes the connections that are over their time.
+    pub fn close_overdue(&self, now: Instant) {
+        let mut table = self.shared.table.lock();
+        let overdue: Vec<_> = table
+            .open
+            .values()
+            .filter_map(|connection| {
+                let view = connection.view();
+                Some((view.id, overdue(&view, now, &table.bounds)?))
+            })
+            .collect();
+        for (id, reason) in overdue {
+            self.shared.shed(&mut table, id, reason);
+        }
+    }
+
+    /// Closes the slowest request of which more than `least_received` bytes are held, so that their memory becomes
+    /// free; returns false if there is none.
+    pub fn shed_slowest_body(&self, least_received: usize) -> bool {
+        let mut table = self.shared.table.lock();
+        let views = table.open.values().map(|connection| connection.view());
+        let slowest = slowest_request(views, Instant::now(), least_received);
+        if let Some(id) = slowest {
+            self.shared.shed(&mut table, id, ShedReason::BodyMemory);
+        }
+        slowest.is_some()
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_count(&self) -> usize {
+        self.shared.table.lock().open.len()
+    }
+
+    /// Returns the bytes charged for buffers.
+    pub fn charged_bytes(&self) -> usize {
+        self.shared.charged.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections were closed since the last call, by reason.
+    pub fn take_sheds(&self) -> HashMap<ShedReason, u64> {
+        mem::take(&mut self.shared.table.lock().sheds)
+    }
+}
+
+/// A connection of a client in the table; it leaves the table when the last clone is dropped.
+#[derive(Clone, Debug)]
+pub struct ClientConnection {
+    handle: Arc<ConnectionHandle>,
+}
+
+#[derive(Debug)]
+struct ConnectionHandle {
+    shared: Arc<SharedTable>,
+    connection: Arc<OpenConnection>,
+    head_bytes: usize,
+}
+
+impl Drop for ConnectionHandle {
+    fn drop(&mut self) {
+        self.shared.table.lock().open.remove(&self.connection.id);
+        let charges = mem::take(&mut self.connection.state.lock().charges);
+        self.shared.discharge(charges.total());
+    }
+}
+
+impl ClientConnection {
+    /// Returns the longest head that the connection accepts, in bytes.
+    pub fn head_bytes(&self) -> usize {
+        self.handle.head_bytes
+    }
+
+    /// Returns whether the configuration now allows longer heads than the connection accepts.
+    pub fn is_outdated(&self) -> bool {
+        self.handle.shared.table.lock().bounds.head_bytes > self.handle.head_bytes
+    }
+
+    /// Waits until the connection is to be closed for others, or because it is over its time.
+    pub async fn shed(&self) {
+        self.handle.connection.shed.cancelled().await;
+    }
+
+    /// Returns whether a request is being handled, so that its caller gets an answer before the connection closes.
+    pub fn has_request(&self) -> bool {
+        let state = self.handle.connection.state.lock();
+        matches!(
+            state.phase,
+            ConnectionPhase::Body | ConnectionPhase::Running
+        )
+    }
+
+    /// Records bytes that were received from the client.
+    pub fn receive(&self, content: &[u8]) {
+        let now = Instant::now();
+        let begins = {
+            let mut state = self.handle.connection.state.lock();
+            match state.phase {
+                ConnectionPhase::Idle => is_request_start(content),
+                ConnectionPhase::Head | ConnectionPhase::Body => {
+                    state.received += content.len();
+                    state.progress(content.len(), now);
+                    false
+                }
+                _ => false,
+            }
+        };
+        if begins {
+            self.begin_request(content.len(), now);
+        }
+    }
+
+    /// Records that the server takes bytes that were read ahead; they may begin the next request.
+    pub fn take_ahead(&self, length: usize) {
+        let phase = self.handle.connection.state.lock().phase;
+        if phase == ConnectionPhase::Answering {
+            self.begin_request(length, Instant::now());
+        }
+    }
+
+    fn begin_request(&self, length: usize, now: Instant) {
+        {
+            let mut state = self.handle.connection.state.lock();
+            state.enter(ConnectionPhase::Head, now);
+            state.received = length;
+        }
+        // After the change of phase, so that the connection is not closed for itself as an idle one.
+        self.charge_request();
+    }
+
+    /// Charges the buffers of a request, and closes others for them; closes this connection if none may be closed.
+    fn charge_request(&self) {
+        let ConnectionHandle {
+            shared, connection, ..
+        } = &*self.handle;
+        {
+            let state = connection.state.lock();
+            if state.closing || state.charges.request > 0 {
+                return;
+            }
+        }
+        if !shared.charge_by_shedding(REQUEST_BYTES) {
+            shared.shed(
+                &mut shared.table.lock(),
+                connection.id,
+                ShedReason::Connections,
+            );
+            return;
+        }
+        let mut state = connection.state.lock();
+        match state.closing {
+            true => shared.discharge(REQUEST_BYTES),
+            false => state.charges.request = REQUEST_BYTES,
+        }
+    }
+
+    /// Records that the server waits for bytes and has none.
+    pub fn await_request(&self) {
+        let mut state = self.handle.connection.state.lock();
+        if state.phase == ConnectionPhase::Answering && !state.write_pending {
+            state.enter(ConnectionPhase::Idle, Instant::now());
+        }
+    }
+
+    /// Charges the buffer for requests behind the one in progress; returns false if there is no room for it.
+    pub fn charge_pipeline(&self) -> bool {
+        let ConnectionHandle {
+            shared, connection, ..
+        } = &*self.handle;
+        let mut state = connection.state.lock();
+        let receiving = matches!(state.phase, ConnectionPhase::Head | ConnectionPhase::Body);
+        if state.closing || receiving {
+            return false;
+        }
+        if state.charges.pipeline == 0 && shared.charge(PIPELINE_BYTES) {
+            state.charges.pipeline = PIPELINE_BYTES;
+        }
+        state.charges.pipeline > 0
+    }
+
+    /// Returns the charge of the buffer for further requests, which is empty.
+    pub fn release_pipeline(&self) {
+        let pipeline = {
+            let mut state = self.handle.connection.state.lock();
+            mem::take(&mut state.charges.pipeline)
+        };
+        self.handle.shared.discharge(pipeline);
+    }
+
+    /// Records that the head of a request is complete and its body begins.
+    pub fn begin_body(&self) {
+        let now = Instant::now();
+        self.handle
+            .connection
+            .state
+            .lock()
+            .enter(ConnectionPhase::Body, now);
+        self.charge_request();
+    }
+
+    /// Records that a request is complete and begins to run; returns false if the connection is being closed, so that
+    /// the request must not run.
+    pub fn begin_run(&self) -> bool {
+        let request = {
+            let mut state = self.handle.connection.state.lock();
+            if state.closing {
+                return false;
+            }
+            state.enter(ConnectionPhase::Running, Instant::now());
+            match state.received <= SMALL_REQUEST_BYTES {
+                true => mem::take(&mut state.charges.request),
+                false => 0,
+            }
+        };
+        self.handle.shared.discharge(request);
+        true
+    }
+
+    /// Records that the answer to a request is ready to be sent.
+    pub fn begin_answer(&self) {
+        let request = {
+            let mut state = self.handle.connection.state.lock();
+            state.enter(ConnectionPhase::Answering, Instant::now());
+            state.received = 0;
+            mem::take(&mut state.charges.request)
+        };
+        self.handle.shared.discharge(request);
+    }
+
+    /// Records whether the client took `length` bytes of an answer, or none since its side is full.
+    pub fn record_write(&self, length: Option<usize>) {
+        let mut state = self.handle.connection.state.lock();
+        state.write_pending = length.is_none();
+        state.progress(length.unwrap_or_default(), Instant::now());
+    }
+}
+
+/// Returns whether bytes begin a request; empty lines before one do not.
+fn is_request_start(content: &[u8]) -> bool {
+    content.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
+}
--- a/src/mesh/client_io.rs
+++ b/src/mesh/client_io.rs
@@ -5,12 +5,13 @@
 //! client has disconnected, and would still forward these requests.
 
 use {
+    super::client_connections::ClientConnection,
     bytes::{Buf, BytesMut},
     futures::ready,
     parking_lot::Mutex,
     std::{
         future::poll_fn,
-        io::Error,
+        io::{Error, IoSlice},
         pin::Pin,
         sync::Arc,
         task::{Context, Poll, Waker},
@@ -24,6 +25,9 @@
 /// Largest number of bytes that are read ahead.
 const MAX_AHEAD_BYTES: usize = 64 * 1024;
 
+/// Number of bytes that a limited connection may always read ahead; more are charged to it.
+const FREE_AHEAD_BYTES: usize = 16 * 1024;
+
 /// Largest number of bytes per read.
 const MAX_READ_BYTES: usize = 8 * 1024;
 
@@ -42,9 +46,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReadAhead {
     state: Arc<Mutex<AheadState>>,
+    /// Connection that is charged for the buffer; none if it is not limited.
+    limited: Option<ClientConnection>,
 }
 
 impl ReadAhead {
+    /// Returns an empty buffer; `limited` is charged for it.
+    pub fn new(limited: Option<ClientConnection>) -> Self {
+        Self {
+            state: Arc::default(),
+            limited,
+        }
+    }
+
     /// Fills the buffer until the client closes its side or the connection breaks.
     pub async fn fill_from(&self, mut reader: OwnedReadHalf) {
         let mut chunk = [0; MAX_READ_BYTES];
@@ -70,16 +84,28 @@
 
     fn poll_room(&self, context: &mut Context<'_>) -> Poll<()> {
         let mut state = self.state.lock();
-        if state.buffer.len() < MAX_AHEAD_BYTES {
+        if self.has_room(state.buffer.len()) {
             return Poll::Ready(());
         }
         state.filler = Some(context.waker().clone());
         Poll::Pending
     }
 
+    fn has_room(&self, length: usize) -> bool {
+        match &self.limited {
+            Some(limited) if length >= FREE_AHEAD_BYTES => {
+                length < MAX_AHEAD_BYTES && limited.charge_pipeline()
+            }
+            _ => length < MAX_AHEAD_BYTES,
+        }
+    }
+
     fn add(&self, chunk: &[u8]) {
         let mut state = self.state.lock();
         if !state.discarding {
+            if let Some(limited) = &self.limited {
+                limited.receive(chunk);
+            }
             state.buffer.extend_from_slice(chunk);
             state.server.take().into_iter().for_each(Waker::wake);
         }
@@ -89,11 +115,21 @@
         let mut state = self.state.lock();
         if state.buffer.is_empty() && !state.ended {
             state.server = Some(context.waker().clone());
+            if let Some(limited) = &self.limited {
+                limited.await_request();
+            }
             return Poll::Pending;
         }
         let length = state.buffer.len().min(output.remaining());
         output.put_slice(&state.buffer[..length]);
         state.buffer.advance(length);
+        if let Some(limited) = self.limited.as_ref().filter(|_| length > 0) {
+            limited.take_ahead(length);
+            if state.buffer.is_empty() && state.buffer.capacity() > MAX_READ_BYTES {
+                state.buffer = BytesMut::new();
+                limited.release_pipeline();
+            }
+        }
         state.filler.take().into_iter().for_each(Waker::wake);
         Poll::Ready(())
     }
@@ -111,6 +147,17 @@
     pub fn new(ahead: ReadAhead, writer: OwnedWriteHalf) -> Self {
         Self { ahead, writer }
     }
+
+    fn record_write(&self, written: &Poll<Result<usize, Error>>) {
+        let Some(limited) = &self.ahead.limited else {
+            return;
+        };
+        match written {
+            Poll::Ready(Ok(length)) => limited.record_write(Some(*length)),
+            Poll::Pending => limited.record_write(None),
+            Poll::Ready(Err(_)) => {}
+        }
+    }
 }
 
 impl AsyncRead for ClientIo {
@@ -130,7 +177,24 @@
         context: &mut Context<'_>,
         content: &[u8],
     ) -> Poll<Result<usize, Error>> {
-        Pin::new(&mut self.writer).poll_write(context, content)
+        let written = Pin::new(&mut self.writer).poll_write(context, content);
+        self.record_write(&written);
+        written
+    }
+
+    // Without vectored writes, the HTTP server copies each answer into a buffer of its own, which nobody counts.
+    fn is_write_vectored(&self) -> bool {
+        self.writer.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize, Error>> {
+        let written = Pin::new(&mut self.writer).poll_write_vectored(context, slices);
+        self.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<(), Error>> {
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -6,9 +6,10 @@
 use {
     super::{
         admission::AdmissionQueue, caller_deadline::CallerDeadlines,
-        exposure_limit::ExposureLimits, held_bytes::HeldBytes, hop::HopClient,
-        registry::TargetRegistry, retry_share::RetryShares, settings::MeshSettings,
-        shutdown::Shutdown, split::RouteSplits, target_selection::TargetTracker,
+        client_connections::ClientConnections, exposure_limit::ExposureLimits,
+        held_bytes::HeldBytes, hop::HopClient, registry::TargetRegistry, retry_share::RetryShares,
+        settings::MeshSettings, shutdown::Shutdown, split::RouteSplits,
+        target_selection::TargetTracker,
     },
     crate::{
         blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode,
@@ -38,6 +39,8 @@
     pub queue: AdmissionQueue,
     /// HTTP client for that target.
     pub target: TargetClient,
+    /// Open connections of clients.
+    pub clients: ClientConnections,
     /// Bytes of all bodies that the node holds.
     pub held_bytes: HeldBytes,
     /// HTTP client for other nodes.
@@ -73,7 +76,8 @@
         registry.hold();
         let budgets = RetryShares::new(&settings.bounds);
         let exposure = ExposureLimits::new(&settings.bounds);
-        let held_bytes = HeldBytes::new(settings.body_memory);
+        let clients = ClientConnections::new(settings.clients);
+        let held_bytes = HeldBytes::new(settings.body_memory).with_clients(clients.clone());
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
         Self {
             settings,
@@ -83,6 +87,7 @@
             registry: Mutex::new(registry),
             queue: AdmissionQueue::default(),
             target,
+            clients,
             held_bytes,
             hops: HopClient::default(),
             target_tracker: Mutex::default(),
--- a/src/mesh/entry/intake.rs
+++ b/src/mesh/entry/intake.rs
@@ -3,6 +3,7 @@
 use {
     super::{NOT_READY_RETRY_AFTER, header_text},
     crate::mesh::{
+        client_connections::ClientConnection,
         context::MeshContext,
         entry_call::EntryCall,
         http::{WholeBodyError, read_whole},
@@ -18,7 +19,10 @@
     },
     hyper::body::Incoming,
     rand::Rng,
-    std::time::{Duration, Instant},
+    std::{
+        future::pending,
+        time::{Duration, Instant},
+    },
     tokio::time::timeout_at,
 };
 
@@ -118,12 +122,17 @@
     if content_length.is_some_and(|length| length > limit) {
         return Err(too_long());
     }
-    match timeout_at(
-        deadline.into(),
-        read_whole(body, limit, &context.held_bytes),
-    )
-    .await
-    {
+    let client = head.extensions.get::<ClientConnection>();
+    let reading = read_whole(body, limit, &context.held_bytes);
+    let reading = timeout_at(deadline.into(), reading);
+    let result = tokio::select! {
+        biased;
+        () = shed(client) => return Err(shed_refusal()),
+        result = reading => result,
+    };
+    match result {
+        // A request whose connection is being closed would run without an answer.
+        Ok(Ok(_)) if client.is_some_and(|client| !client.begin_run()) => Err(shed_refusal()),
         Ok(Ok(content)) => Ok(content),
         Ok(Err(WholeBodyError::OverLimit { .. })) => Err(too_long()),
         Ok(Err(WholeBodyError::NoMemory)) => {
@@ -139,3 +148,16 @@
         )),
     }
 }
+
+/// Returns the refusal of a request whose connection is closed for others before the request was complete.
+fn shed_refusal() -> MeshRefusal {
+    MeshRefusal::rejected(StatusCode::REQUEST_TIMEOUT, "connection-shed")
+}
+
+/// Waits until the connection of a request is to be closed for others.
+async fn shed(client: Option<&ClientConnection>) {
+    match client {
+        Some(client) => client.shed().await,
+        None => pending().await,
+    }
+}
--- a/src/mesh/held_bytes.rs
+++ b/src/mesh/held_bytes.rs
@@ -4,6 +4,7 @@
 //! not keep the node within its memory.
 
 use {
+    super::client_connections::ClientConnections,
     bytes::Bytes,
     std::sync::{
         Arc,
@@ -11,16 +12,19 @@
     },
 };
 
-/// Bytes of a body that are not counted; most bodies are shorter.
-const FREE_BYTES: usize = 64 * 1024;
+/// Bytes of a body that are not counted; most bodies are shorter. For the body of a client's request they are part of
+/// what its connection is charged.
+const FREE_BYTES: usize = 32 * 1024;
 
 /// Counter of the bytes held, shared by all bodies of a node.
 ///
-/// Invariant: the bytes held never exceed the limit.
+/// Invariant: the bytes held never exceed the limit. A growing body is counted with the capacity of its buffer.
 #[derive(Clone, Debug)]
 pub struct HeldBytes {
     held: Arc<AtomicUsize>,
     limit: usize,
+    /// Connections whose slowest request is closed if a body finds no room.
+    clients: Option<ClientConnections>,
 }
 
 /// Part of the bytes that one body holds; dropping it returns them.
@@ -48,9 +52,24 @@
         Self {
             held: Arc::default(),
             limit,
+            clients: None,
         }
     }
 
+    /// Closes the slowest requests of these clients if a body finds no room.
+    pub fn with_clients(self, clients: ClientConnections) -> Self {
+        Self {
+            clients: Some(clients),
+            ..self
+        }
+    }
+
+    /// Closes the slowest request that holds bytes; returns false if there is none.
+    pub fn make_room(&self) -> bool {
+        let clients = self.clients.as_ref();
+        clients.is_some_and(|clients| clients.shed_slowest_body(FREE_BYTES))
+    }
+
     /// Returns the longest body that is held, so that one body leaves room for others.
     pub fn longest_body(&self) -> usize {
         (self.limit / 2).max(FREE_BYTES)
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -2,12 +2,13 @@
 
 use {
     super::{
+        client_connections::{ClientConnection, ClientConnections},
         client_io::{ClientIo, ReadAhead},
-        held_bytes::HeldBytes,
+        held_bytes::{BodyShare, HeldBytes},
         refusal::WholeBody,
     },
-    bytes::{Bytes, BytesMut},
-    http::{Request, Response},
+    bytes::Bytes,
+    http::{HeaderValue, Request, Response, header::CONNECTION},
     http_body::Body,
     http_body_util::BodyExt,
     hyper::{
@@ -19,7 +20,8 @@
     std::{
         convert::Infallible,
         error::Error,
-        future::{Future, poll_fn},
+        future::{Future, pending, poll_fn},
+        mem,
         pin::{Pin, pin},
         time::Duration,
     },
@@ -35,12 +37,24 @@
 /// Time limit for the head of a request, and for an idle connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Smallest read buffer that the HTTP server accepts, in bytes.
+const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Time for which a connection waits for the client to close its side after the last response.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
 /// Time to wait after a failed accept, which is mostly due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Requests that are closed at most to make room for one body.
+const ROOM_ATTEMPTS: usize = 16;
+
+/// Time to wait for the bytes of a closed request.
+const ROOM_DELAY: Duration = Duration::from_millis(2);
+
+/// Time in which a request whose connection is to be closed gets its refusal.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
 /// Error of a body that could not be read as a whole.
 #[derive(Debug, Error)]
 pub enum WholeBodyError {
@@ -69,31 +83,56 @@
 {
     let mut body = pin!(body);
     let limit = limit.min(bytes.longest_body());
+    let expected = body.size_hint().exact().map(|length| length as usize);
+    let largest = expected.unwrap_or(limit).min(limit);
     let mut share = bytes.begin();
-    let mut first: Option<Bytes> = None;
-    let mut rest = BytesMut::new();
+    let mut whole = Bytes::new();
+    let mut content = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        let length = first.as_ref().map_or(0, Bytes::len) + rest.len();
-        if length + data.len() > limit {
+        let length = whole.len() + content.len() + data.len();
+        if length > limit {
             return Err(WholeBodyError::OverLimit { limit });
         }
-        if !share.grow_to(length + data.len()) {
+        let fits_one_frame = expected == Some(data.len());
+        let capacity = match fits_one_frame || length <= content.capacity() {
+            true => length,
+            false => (content.capacity() * 2).min(largest).max(length),
+        };
+        if !reserve(&mut share, capacity, bytes).await {
             return Err(WholeBodyError::NoMemory);
         }
-        match &first {
-            // Most bodies arrive in one frame, which needs no copy.
-            None if rest.is_empty() => first = Some(data),
-            None => rest.extend_from_slice(&data),
-            Some(_) => {
-                rest.extend_from_slice(&first.take().unwrap_or_default());
-                rest.extend_from_slice(&data);
-            }
+        // Most bodies arrive in one frame, which needs no copy. Any other frame is copied, since it keeps the whole
+        // read buffer of its connection in memory, however short it is.
+        if fits_one_frame {
+            whole = data;
+            continue;
+        }
+        content.reserve_exact(capacity.saturating_sub(content.len()));
+        content.extend_from_slice(&mem::take(&mut whole));
+        content.extend_from_slice(&data);
+    }
+    Ok(share.hold(match content.is_empty() {
+        true => whole,
+        false => content.into(),
+    }))
+}
+
+/// Grows the share of a body to `capacity` bytes, and closes requests that make no progress if there is no room.
+async fn reserve(share: &mut BodyShare, capacity: usize, bytes: &HeldBytes) -> bool {
+    for _ in 0..ROOM_ATTEMPTS {
+        if share.grow_to(capacity) {
+            return true;
+        }
+        if !bytes.make_room() {
+            return false;
         }
+        // The closed request returns its bytes when its task runs.
+        sleep(ROOM_DELAY).await;
     }
-    Ok(share.hold(first.unwrap_or_else(|| rest.freeze())))
+    false
 }
 
 /// Stop signal of a server and its open connections.
@@ -111,13 +150,41 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Unpin + 'static,
     F: Future<Output = Response<WholeBody>> + Send + 'static,
 {
+    accept_until_closed(listener, &stop, |stream| {
+        spawn_connection(stream, &stop, None, handler.clone());
+    })
+    .await;
+}
+
+/// Serves clients in the same way, within the limits of `clients`.
+///
+/// Requests carry their `ClientConnection` as an extension.
+pub async fn serve_clients<H, F>(
+    listener: TcpListener,
+    stop: ServerStop,
+    clients: ClientConnections,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Unpin + 'static,
+    F: Future<Output = Response<WholeBody>> + Send + 'static,
+{
+    accept_until_closed(listener, &stop, |stream| {
+        // A stream that is not admitted is closed at once.
+        if let Some(connection) = clients.open() {
+            spawn_connection(stream, &stop, Some(connection), handler.clone());
+        }
+    })
+    .await;
+}
+
+async fn accept_until_closed(listener: TcpListener, stop: &ServerStop, start: impl Fn(TcpStream)) {
     loop {
         let accepted = tokio::select! {
             () = stop.close.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => spawn_connection(stream, &stop, handler.clone()),
+            Ok((stream, _)) => start(stream),
             Err(cause) => {
                 tracing::warn!(step = "accept connection", error = %cause);
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -126,25 +193,46 @@
     }
 }
 
-fn spawn_connection<H, F>(stream: TcpStream, stop: &ServerStop, handler: H)
-where
+fn spawn_connection<H, F>(
+    stream: TcpStream,
+    stop: &ServerStop,
+    limited: Option<ClientConnection>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Unpin + 'static,
     F: Future<Output = Response<WholeBody>> + Send + 'static,
 {
     if let Err(cause) = stream.set_nodelay(true) {
         tracing::debug!(step = "set nodelay", error = %cause);
     }
-    let service = service_fn(move |request| {
+    let client = limited.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        let client = client.clone();
+        if let Some(client) = &client {
+            begin_request(client, &mut request);
+        }
         let answer = handler(request);
-        Box::pin(async move { Ok::<_, Infallible>(answer.await) })
+        Box::pin(async move {
+            let mut answer = answer.await;
+            if let Some(client) = &client {
+                end_request(client, &mut answer);
+            }
+            Ok::<_, Infallible>(answer)
+        })
     });
     let (reader, writer) = stream.into_split();
-    let ahead = ReadAhead::default();
-    let io = ClientIo::new(ahead.clone(), writer);
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .serve_connection(TokioIo::new(io), service);
+    let ahead = ReadAhead::new(limited.clone());
+    let io = TokioIo::new(ClientIo::new(ahead.clone(), writer));
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    match &limited {
+        Some(limited) => builder
+            .max_buf_size(limited.head_bytes().max(MIN_READ_BUFFER_BYTES))
+            // The table of connections watches the time.
+            .header_read_timeout(None),
+        None => builder.header_read_timeout(HEAD_TIMEOUT),
+    };
+    let connection = builder.serve_connection(io, service);
     let close = stop.close.clone();
     stop.connections.spawn(async move {
         let mut filling = pin!(ahead.fill_from(reader));
@@ -152,6 +240,7 @@
             served = serve_until_closed(connection, close) => served,
             // The client has disconnected: its requests are dropped, also those that have not been read yet.
             () = &mut filling => return,
+            () = close_for_others(limited.as_ref()) => return,
         };
         if let Some(io) = served {
             linger(io, &ahead, filling).await;
@@ -159,7 +248,36 @@
     });
 }
 
-/// Serves a connection until it ends; returns its stream if it ended without an error.
+/// Marks the beginning of a request on its connection, and lets its handler know the connection.
+///
+/// The handler marks when the request is complete. A request without a body on a connection that is being closed is
+/// refused by the handler like one whose body was cut off.
+fn begin_request(client: &ClientConnection, request: &mut Request<Incoming>) {
+    client.begin_body();
+    request.extensions_mut().insert(client.clone());
+}
+
+/// Marks the end of a request; a connection that accepts only shorter heads than the configuration allows closes.
+fn end_request(client: &ClientConnection, answer: &mut Response<WholeBody>) {
+    client.begin_answer();
+    if client.is_outdated() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+}
+
+/// Returns once a connection must be closed at once, for others or because it is over its time.
+async fn close_for_others(limited: Option<&ClientConnection>) {
+    let Some(limited) = limited else {
+        return pending().await;
+    };
+    limited.shed().await;
+    if limited.has_request() {
+        sleep(REFUSAL_TIME).await;
+    }
+}
+
+/// Serves a connection until it ends; returns its stream if a last response must still arrive.
 async fn serve_until_closed<S>(
     mut connection: http1::Connection<TokioIo<ClientIo>, S>,
     close: CancellationToken,
@@ -176,13 +294,12 @@
             poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
     };
-    match ended {
-        Ok(()) => Some(connection.into_parts().io.into_inner()),
-        Err(cause) => {
-            tracing::debug!(step = "serve connection", error = %cause);
-            None
-        }
+    if let Err(cause) = &ended {
+        tracing::debug!(step = "serve connection", error = %cause);
     }
+    // A head that is too long or invalid has been answered with a status.
+    let answered = ended.is_ok() || ended.is_err_and(|cause| cause.is_parse());
+    answered.then(|| connection.into_parts().io.into_inner())
 }
 
 /// Closes a connection so that the last response arrives (lingering close).
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -4,7 +4,7 @@
     super::{
         context::MeshContext,
         entry::answer_call,
-        http::{ServerStop, read_whole, serve},
+        http::{ServerStop, read_whole, serve, serve_clients},
         move_driver::drive_moves,
         move_sync::sync_moves,
         peer_discovery::discover_peers,
@@ -19,10 +19,12 @@
     },
     crate::{
         blackboard::Blackboard,
+        client_limits::{RECEIVE_BUFFER_BYTES, ShedReason},
+        config::IntakeLimits,
         config_sync::serve_sync,
         gossip::GossipNode,
         membership::MemberState,
-        node_metrics::{MetricsError, NodeMetrics},
+        node_metrics::{ClientLoad, MetricsError, NodeMetrics},
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
@@ -38,12 +40,12 @@
     },
     thiserror::Error,
     tokio::{
-        net::{TcpListener, UdpSocket},
+        net::{TcpListener, TcpSocket, UdpSocket},
         task::JoinSet,
         time::{sleep, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
-    tracing::{error, info},
+    tracing::{error, info, warn},
 };
 
 /// Time between two checks of the target beside this node and of the membership.
@@ -52,6 +54,9 @@
 /// Time after the start by which a node knows the size of its fleet, also if all nodes were restarted with it.
 const FLEET_KNOWN_AFTER: Duration = Duration::from_millis(2500);
 
+/// Connections of clients that wait to be accepted.
+const CLIENT_BACKLOG: u32 = 1024;
+
 /// Error that keeps a node from starting or ends it.
 #[derive(Debug, Error)]
 pub enum MeshNodeError {
@@ -173,7 +178,7 @@
         .await
         .map_err(|cause| bind_error("gossip", node.peer_address, cause))?;
     Ok(MeshSockets {
-        calls: bind_tcp("calls", node.call_address).await?,
+        calls: bind_clients(node.call_address)?,
         hops: bind_tcp("forwarded calls", node.forward_address).await?,
         ready: bind_tcp("readiness", settings.ready_address).await?,
         heartbeats: bind_tcp("heartbeats", node.admin_address).await?,
@@ -191,6 +196,24 @@
     bound.map_err(|cause| bind_error(purpose, address, cause))
 }
 
+/// Binds the address for clients; their connections inherit the size of the receive buffer.
+fn bind_clients(address: SocketAddr) -> Result<TcpListener, MeshNodeError> {
+    listen_for_clients(address).map_err(|cause| bind_error("calls", address, cause))
+}
+
+fn listen_for_clients(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    if let Err(cause) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32) {
+        warn!(step = "set receive buffer", error = %cause, "the kernel chooses the size");
+    }
+    socket.bind(address)?;
+    socket.listen(CLIENT_BACKLOG)
+}
+
 fn bind_error(purpose: &'static str, address: SocketAddr, cause: io::Error) -> MeshNodeError {
     MeshNodeError::Bind {
         purpose,
@@ -404,7 +427,8 @@
     }
 }
 
-/// Withdraws a target whose heartbeats have stopped, and applies changes of the number of nodes and connections.
+/// Withdraws a target whose heartbeats have stopped, and applies changes of the number of nodes, of connections and of
+/// the limits of clients.
 async fn watch_target(context: Arc<MeshContext>) {
     let started = Instant::now();
     loop {
@@ -432,6 +456,26 @@
         if let Some(spec) = config.backend(&context.settings.service) {
             context.target.resize(spec.connections);
         }
+        watch_clients(&context, config.intake());
+    }
+}
+
+/// Applies the limits of the configuration to the connections of clients, closes those over their time, and reports.
+fn watch_clients(context: &MeshContext, intake: Option<&IntakeLimits>) {
+    let clients = &context.clients;
+    clients.set_intake(intake);
+    clients.close_overdue(Instant::now());
+    context.metrics.set_client_load(ClientLoad {
+        connections: clients.open_count() as u64,
+        buffer_bytes: clients.charged_bytes() as u64,
+        body_bytes: context.held_bytes.held() as u64,
+    });
+    for (reason, count) in clients.take_sheds() {
+        context.metrics.count_sheds(reason, count);
+        // Idle connections end in ordinary operation too.
+        if reason != ShedReason::Idle {
+            info!(decision = "shed", %reason, count, "connections of clients closed");
+        }
     }
 }
 
@@ -449,7 +493,8 @@
         connections: TaskTracker::new(),
     };
     let entry_context = context.clone();
-    let entry_server = serve(calls, server_stop.clone(), move |request| {
+    let clients = context.clients.clone();
+    let entry_server = serve_clients(calls, server_stop.clone(), clients, move |request| {
         answer_call(entry_context.clone(), request)
     });
     let hop_context = context.clone();
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        client_limits::ClientLimits,
         config::ServiceKey,
         settings::{GossipSection, LogSection, NodeSection},
     },
@@ -32,6 +33,8 @@
     pub heartbeat: Duration,
     /// Memory that the bodies of requests and responses may take together, in bytes.
     pub body_memory: usize,
+    /// Limits of the connections of clients together.
+    pub clients: ClientLimits,
     /// Limits that the operator sets for the whole fleet.
     pub bounds: MeshBounds,
     /// Names of the headers that callers and targets use.
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         call_events::ReasonCode,
+        client_limits::ShedReason,
         config::ServiceKey,
         ids::{ConfigVersion, VersionName},
     },
@@ -97,6 +98,17 @@
     pub permille: u32,
 }
 
+/// What the connections of clients take at a node at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClientLoad {
+    /// Open connections.
+    pub connections: u64,
+    /// Bytes charged for their buffers.
+    pub buffer_bytes: u64,
+    /// Bytes of the bodies that the node holds.
+    pub body_bytes: u64,
+}
+
 /// Metrics of a node; clones update the same metrics.
 #[derive(Clone, Debug)]
 pub struct NodeMetrics {
@@ -114,6 +126,10 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     config_version: Gauge<u64>,
+    client_connections: Gauge<u64>,
+    client_buffers: Gauge<u64>,
+    bodies: Gauge<u64>,
+    sheds: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -143,6 +159,22 @@
             retries: counter(&meter, "poplarwing_retries", "Calls sent again."),
             refusals: counter(&meter, "poplarwing_refusals", "Calls refused, by reason."),
             config_version: config_version_gauge(&meter),
+            client_connections: gauge(
+                &meter,
+                "poplarwing_client_connections",
+                "Open connections of clients.",
+            ),
+            client_buffers: gauge(
+                &meter,
+                "poplarwing_client_buffer_bytes",
+                "Bytes charged for buffers of client connections.",
+            ),
+            bodies: gauge(&meter, "poplarwing_body_bytes", "Bytes of bodies held."),
+            sheds: counter(
+                &meter,
+                "poplarwing_connections_shed",
+                "Connections of clients closed by the node, by reason.",
+            ),
         })
     }
 
@@ -196,6 +228,19 @@
             .add(1, &[KeyValue::new("reason", reason.into())]);
     }
 
+    /// Sets what the connections of clients take at present.
+    pub fn set_client_load(&self, load: ClientLoad) {
+        self.client_connections.record(load.connections, &[]);
+        self.client_buffers.record(load.buffer_bytes, &[]);
+        self.bodies.record(load.body_bytes, &[]);
+    }
+
+    /// Counts connections of clients that the node closed.
+    pub fn count_sheds(&self, reason: ShedReason, count: u64) {
+        let label = KeyValue::new("reason", reason.to_string());
+        self.sheds.add(count, &[label]);
+    }
+
     /// Replaces the shares of all versions, so that no time series remains for a removed version.
     pub fn set_version_shares(&self, shares: Vec<VersionShare>) {
         *self.shares.lock() = shares;
@@ -261,6 +306,10 @@
         .build()
 }
 
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
 fn config_version_gauge(meter: &Meter) -> Gauge<u64> {
     let builder = meter.u64_gauge("poplarwing_config_version");
     builder
--- a/tests/support/mesh_node.rs
+++ b/tests/support/mesh_node.rs
@@ -4,6 +4,7 @@
     http::HeaderName,
     poplarwing::{
         blackboard::Blackboard,
+        client_limits::ClientLimits,
         config::ServiceKey,
         gossip::GossipNode,
         mesh::{
@@ -66,6 +67,7 @@
         first_start: false,
         heartbeat: Duration::from_millis(1500),
         body_memory: 1 << 20,
+        clients: ClientLimits::of_process(64 << 20, 4100),
         bounds: MeshBounds {
             grace: Duration::from_secs(6),
             retry_ratio: 0.2,
