Count the attempts of a call in one ledger

AttemptLedger counts an attempt when it is sent; only a refusal that states it did not reach the target takes the arrival back. Retry, hedge, last round and the refusal's "not run" read it, the choice of target excludes the nodes that it names, and one function records an attempt and takes its retry from the budget. If one of two attempts fails, the other goes on. A retry is paid when it is sent, no longer when no target is left. Hedges have a metric and a log line; retries no longer count them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod admin_hooks;
 pub mod admin_types;
 pub mod apply_gate;
+pub mod attempts;
 pub mod blackboard;
 pub mod call_events;
 pub mod call_evidence;
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -1,9 +1,11 @@
 //! HTTP handler for callers: accepts a call, selects its targets and decides whether it may be retried.
 
+mod attempt_log;
 mod attempts;
 mod choice;
-mod history;
+mod hedge;
 mod intake;
+mod progress;
 
 use {
     self::{attempts::run_call, intake::accept_call},
--- a/src/mesh/entry/choice.rs
+++ b/src/mesh/entry/choice.rs
@@ -1,8 +1,8 @@
 //! Selection of the target of an attempt, among those whose version may receive the call.
 
 use {
-    super::history::AttemptHistory,
     crate::{
+        attempts::attempt_ledger::AttemptLedger,
         ids::NodeId,
         membership::TargetEndpoint,
         mesh::{
@@ -44,7 +44,28 @@
 pub(super) fn choose_target(
     context: &MeshContext,
     call: &EntryCall,
-    history: &mut AttemptHistory,
+    ledger: &mut AttemptLedger,
+) -> Option<TargetEndpoint> {
+    let chosen = choose_among(context, call, &ledger.excluded());
+    match chosen.is_none() && ledger.begin_last_round() {
+        true => choose_among(context, call, &ledger.excluded()),
+        false => chosen,
+    }
+}
+
+/// Selects the target of a hedge, among those that no attempt was sent to.
+pub(super) fn choose_hedge_target(
+    context: &MeshContext,
+    call: &EntryCall,
+    ledger: &AttemptLedger,
+) -> Option<TargetEndpoint> {
+    choose_among(context, call, &ledger.asked())
+}
+
+fn choose_among(
+    context: &MeshContext,
+    call: &EntryCall,
+    excluded: &[NodeId],
 ) -> Option<TargetEndpoint> {
     let targets = context.board.members.lock().targets_of(&call.service);
     let draw = version_draw(context, call);
@@ -53,29 +74,14 @@
         .moves
         .lock()
         .eligible(&call.service, targets, draw);
-    let excluded: Vec<NodeId> = match history.last_round {
-        true => history.tried.clone(),
-        false => history.tried.iter().chain(&history.full).cloned().collect(),
+    let needs = CallNeeds {
+        route: &call.route.name,
+        latency_objective: call.route.latency_objective,
+        own_domain: &context.settings.node.failure_domain,
+        body_bytes: call.content.len(),
     };
-    let chosen = context
-        .target_tracker
-        .lock()
-        .choose(
-            &eligible,
-            &excluded,
-            &CallNeeds {
-                route: &call.route.name,
-                latency_objective: call.route.latency_objective,
-                own_domain: &context.settings.node.failure_domain,
-                body_bytes: call.content.len(),
-            },
-            Instant::now(),
-            &mut rand::rng(),
-        )
-        .cloned();
-    if chosen.is_none() && !history.last_round && !history.full.is_empty() {
-        history.last_round = true;
-        return choose_target(context, call, history);
-    }
-    chosen
+    let tracker = context.target_tracker.lock();
+    let mut rng = rand::rng();
+    let chosen = tracker.choose(&eligible, excluded, &needs, Instant::now(), &mut rng);
+    chosen.cloned()
 }
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -86,6 +86,20 @@
     TakenBack,
 }
 
+/// What happened to a hedge, which is a second attempt beside one that is slow; value of the label `event`.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum HedgeEvent {
+    /// It was sent.
+    #[display("started")]
+    Started,
+    /// Its response was the first good one.
+    #[display("won")]
+    Won,
+    /// It was cancelled because the attempt before it answered first.
+    #[display("cancelled")]
+    Cancelled,
+}
+
 /// Proportion of a service's calls that one of its versions receives.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct VersionShare {
@@ -112,6 +126,7 @@
     call_latency: Histogram<f64>,
     calls: Counter<u64>,
     retries: Counter<u64>,
+    hedges: Counter<u64>,
     refusals: Counter<u64>,
     config_version: Gauge<u64>,
 }
@@ -141,6 +156,11 @@
             call_latency: call_latency_histogram(&meter),
             calls: counter(&meter, "poplarwing_calls", "Calls ended, by outcome."),
             retries: counter(&meter, "poplarwing_retries", "Calls sent again."),
+            hedges: counter(
+                &meter,
+                "poplarwing_hedges",
+                "Attempts sent beside a slow one, by event.",
+            ),
             refusals: counter(&meter, "poplarwing_refusals", "Calls refused, by reason."),
             config_version: config_version_gauge(&meter),
         })
@@ -184,11 +204,17 @@
             .add(1, &[KeyValue::new("outcome", outcome.to_string())]);
     }
 
-    /// Counts a retry of a call.
+    /// Counts a retry of a call; a hedge is none.
     pub fn count_retry(&self) {
         self.retries.add(1, &[]);
     }
 
+    /// Counts what happened to a hedge.
+    pub fn count_hedge(&self, event: HedgeEvent) {
+        self.hedges
+            .add(1, &[KeyValue::new("event", event.to_string())]);
+    }
+
     /// Counts a refused call by reason code; the codes are constants, so the number of time series stays
     /// small.
     pub fn count_refusal(&self, reason: impl Into<ReasonCode>) {
--- a/tests/admin_metrics.rs
+++ b/tests/admin_metrics.rs
@@ -7,7 +7,9 @@
         event_log::{
             CallSampler, MoveDecision, RouteDecision, json_subscriber, log_move, log_route,
         },
-        node_metrics::{CallResult, ControlChannel, MoveResult, NodeMetrics, VersionShare},
+        node_metrics::{
+            CallResult, ControlChannel, HedgeEvent, MoveResult, NodeMetrics, VersionShare,
+        },
         settings::LogSection,
     },
     std::{io, sync::Arc, time::Duration},
@@ -40,6 +42,7 @@
     metrics.record_added_latency(Duration::from_micros(400));
     metrics.count_call(CallResult::NotRun);
     metrics.count_retry();
+    metrics.count_hedge(HedgeEvent::Won);
     metrics.count_refusal("draining");
     metrics.set_config_version(7);
     let text = metrics.render();
@@ -53,6 +56,7 @@
         "poplarwing_added_latency_seconds_bucket{le=\"0.00045\"} 1",
         "poplarwing_calls_total{outcome=\"not_run\"} 1",
         "poplarwing_retries_total 1",
+        "poplarwing_hedges_total{event=\"won\"} 1",
         "poplarwing_refusals_total{reason=\"draining\"} 1",
         "poplarwing_config_version 7",
     ];
