Hedge attempts that are slow for their route, within a share

A few slow answers spoil the figures of a service whose other answers are quick; a hedge came only at half of a call's remaining time.

The second target must have reported room. The tokens are those that found the bucket of retries full, at most the share of the calls, and lapse over about a window, so hedges stay within the retry budget and take nothing from retries after failures. Default 0: hedges as before, nothing is recorded, and deploy/system.toml sets no share.

An attempt that its hedge overtook counts as a failure of its target from the second in a row on; a target that hangs would otherwise stay as attractive as before.

Not measured on a deployment.

--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,7 +1,7 @@
 //! State of a node that its servers and background tasks share.
 //!
 //! Lock order: `announcing`, then `registry`, then those of `board`, then `target_tracker`, `budgets`, `exposure`,
-//! `splits`, `caller_deadlines`. No lock is held across an await.
+//! `splits`, `caller_deadlines`, `hedge_delays`. No lock is held across an await.
 
 use {
     super::{
@@ -11,8 +11,8 @@
         shutdown::Shutdown, split::RouteSplits, target_selection::TargetTracker,
     },
     crate::{
-        blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode,
-        node_metrics::NodeMetrics, target_client::TargetClient,
+        attempts::hedge_delay::HedgeDelays, blackboard::Blackboard, event_log::LogRateLimiter,
+        gossip::GossipNode, node_metrics::NodeMetrics, target_client::TargetClient,
     },
     parking_lot::Mutex,
     std::{sync::Arc, time::Instant},
@@ -52,6 +52,8 @@
     pub splits: Mutex<RouteSplits>,
     /// Deadlines that callers sent, for the time spent on earlier attempts.
     pub caller_deadlines: Mutex<CallerDeadlines>,
+    /// Time after which an attempt counts as slow, for hedges that the operator allows.
+    pub hedge_delays: Mutex<HedgeDelays>,
     /// Rate limit of the log lines about single calls.
     pub call_log_limiter: LogRateLimiter,
     /// Shutdown of the node, and which calls are taken meanwhile.
@@ -71,7 +73,8 @@
     ) -> Self {
         let mut registry = TargetRegistry::new(settings.target_address, settings.heartbeat);
         registry.hold();
-        let budgets = RetryShares::new(&settings.bounds);
+        let budgets = RetryShares::new(&settings.bounds).with_hedge_share(settings.hedge_share);
+        let hedge_delays = HedgeDelays::new(settings.hedge_share);
         let exposure = ExposureLimits::new(&settings.bounds);
         let held_bytes = HeldBytes::new(settings.body_memory);
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
@@ -90,6 +93,7 @@
             exposure: Mutex::new(exposure),
             splits: Mutex::default(),
             caller_deadlines: Mutex::default(),
+            hedge_delays: Mutex::new(hedge_delays),
             call_log_limiter: LogRateLimiter::default(),
             shutdown: Shutdown::default(),
             announcing: Mutex::default(),
--- a/src/mesh/entry/attempts.rs
+++ b/src/mesh/entry/attempts.rs
@@ -10,11 +10,13 @@
     },
     crate::{
         attempts::attempt_ledger::AttemptId,
+        config::ServiceKey,
         membership::TargetEndpoint,
         mesh::{
             context::MeshContext,
             entry_call::EntryCall,
             refusal::{ExecutionStatus, MeshRefusal, WholeBody},
+            retry_share::RetryShares,
             startup_wait::wait_for_target,
         },
     },
@@ -43,7 +45,8 @@
             progress.refusal = Some(MeshRefusal::stopping());
             break;
         }
-        let Some(id) = record_sent(context, call, &mut progress, &target) else {
+        let Some(id) = record_sent(context, call, &mut progress, &target, RetryShares::spend)
+        else {
             break;
         };
         if let Some(response) = run_hedged(context, call, &target, id, &mut progress).await {
@@ -59,6 +62,9 @@
     final_result(call, progress)
 }
 
+/// Takes a retry of a service from a part of the budget; returns whether there was one.
+pub(super) type SpendRetry = fn(&mut RetryShares, &ServiceKey, Instant) -> bool;
+
 /// Records in the ledger that an attempt is sent to a target; none if it must not be sent, also because the budget has
 /// no retry left.
 pub(super) fn record_sent(
@@ -66,10 +72,11 @@
     call: &EntryCall,
     progress: &mut CallProgress,
     target: &TargetEndpoint,
+    spend: SpendRetry,
 ) -> Option<AttemptId> {
     let pay = || {
         let mut budgets = context.budgets.lock();
-        budgets.spend(&call.service, Instant::now())
+        spend(&mut budgets, &call.service, Instant::now())
     };
     let id = progress.ledger.send(&target.node, pay)?;
     count_sent(context, call, &progress.ledger.sent()[id]);
--- a/src/mesh/entry/choice.rs
+++ b/src/mesh/entry/choice.rs
@@ -6,8 +6,10 @@
         ids::NodeId,
         membership::TargetEndpoint,
         mesh::{
-            context::MeshContext, entry_call::EntryCall, exposure_limit::MoveKnowledge,
-            target_selection::CallNeeds,
+            context::MeshContext,
+            entry_call::EntryCall,
+            exposure_limit::MoveKnowledge,
+            target_selection::{CallNeeds, TargetTracker},
         },
     },
     std::time::Instant,
@@ -46,30 +48,36 @@
     call: &EntryCall,
     ledger: &mut AttemptLedger,
 ) -> Option<TargetEndpoint> {
-    let chosen = choose_among(context, call, &ledger.excluded());
+    let chosen = choose_among(context, call, &ledger.excluded(), |_, _| true);
     match chosen.is_none() && ledger.begin_last_round() {
-        true => choose_among(context, call, &ledger.excluded()),
+        true => choose_among(context, call, &ledger.excluded(), |_, _| true),
         false => chosen,
     }
 }
 
-/// Selects the target of a hedge, among those that no attempt was sent to.
+/// Selects the target of a hedge, among those that no attempt was sent to; with `needs_room`, among those of them that
+/// are expected to be idle enough.
 pub(super) fn choose_hedge_target(
     context: &MeshContext,
     call: &EntryCall,
     ledger: &AttemptLedger,
+    needs_room: bool,
 ) -> Option<TargetEndpoint> {
-    choose_among(context, call, &ledger.asked())
+    let now = Instant::now();
+    choose_among(context, call, &ledger.asked(), |tracker, target| {
+        !needs_room || tracker.has_room_for_hedge(target, now)
+    })
 }
 
 fn choose_among(
     context: &MeshContext,
     call: &EntryCall,
     excluded: &[NodeId],
+    is_suitable: impl Fn(&TargetTracker, &TargetEndpoint) -> bool,
 ) -> Option<TargetEndpoint> {
     let targets = context.board.members.lock().targets_of(&call.service);
     let draw = version_draw(context, call);
-    let eligible = context
+    let mut eligible = context
         .board
         .moves
         .lock()
@@ -81,6 +89,7 @@
         body_bytes: call.content.len(),
     };
     let tracker = context.target_tracker.lock();
+    eligible.retain(|target| is_suitable(&tracker, target));
     let mut rng = rand::rng();
     let chosen = tracker.choose(&eligible, excluded, &needs, Instant::now(), &mut rng);
     chosen.cloned()
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -34,6 +34,9 @@
     pub body_memory: usize,
     /// Limits that the operator sets for the whole fleet.
     pub bounds: MeshBounds,
+    /// Share of a service's calls that may be sent to a second target because they are slow for their route; 0 turns
+    /// these hedges off.
+    pub hedge_share: f64,
     /// Names of the headers that callers and targets use.
     pub headers: CallHeaders,
 }
--- a/src/mesh/target_selection.rs
+++ b/src/mesh/target_selection.rs
@@ -54,6 +54,13 @@
 /// Weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.15;
 
+/// Fraction of a target's slots up to which it may be busy, the new call included, to receive a hedge of a slow attempt.
+const HEDGE_BUSY_FRACTION: f64 = 0.5;
+
+/// Attempts in a row that their hedges overtook from which each counts as a failure of the target. One alone is mostly
+/// chance, and counting it would move calls away from a sound target; a target that hangs has many in a row.
+const OVERTAKEN_LIMIT: u32 = 2;
+
 /// Half-life of the failure rate while no calls end.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -103,6 +110,8 @@
     failure_rate_at: Option<Instant>,
     /// Attempts in a row that did not reach the target.
     consecutive_misses: u32,
+    /// Attempts that were cancelled because their hedges answered first, since the target last answered.
+    consecutive_overtaken: u32,
     backoff_until: Option<Instant>,
 }
 
@@ -120,6 +129,7 @@
             failure_rate: 0.0,
             failure_rate_at: None,
             consecutive_misses: 0,
+            consecutive_overtaken: 0,
             backoff_until: None,
         }
     }
@@ -172,6 +182,7 @@
             TargetOutcome::Answered => {
                 stats.record_outcome(0.0, now);
                 stats.consecutive_misses = 0;
+                stats.consecutive_overtaken = 0;
                 stats.backoff_until = None;
             }
             TargetOutcome::Failed => stats.record_outcome(1.0, now),
@@ -187,6 +198,17 @@
         }
     }
 
+    /// Records that an attempt was cancelled because its hedge answered first; a failure if it is one of several in a
+    /// row.
+    pub fn record_overtaken(&mut self, node: &str, now: Instant) {
+        if let Some(stats) = self.targets.get_mut(node) {
+            stats.consecutive_overtaken += 1;
+            if stats.consecutive_overtaken >= OVERTAKEN_LIMIT {
+                stats.record_outcome(1.0, now);
+            }
+        }
+    }
+
     /// Removes nodes for which `known` is false, unless attempts at them are in flight.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.targets
@@ -227,6 +249,24 @@
         best.map(|(_, _, candidate)| candidate)
     }
 
+    /// Returns the time that a call of a route is expected to take at a target, without waiting; none if the target has
+    /// not reported it.
+    pub fn expected_time(&self, node: &str, route: &str) -> Option<Duration> {
+        self.targets.get(node)?.route_times.get(route).copied()
+    }
+
+    /// Returns whether a target is expected to have so much room that a hedge of a slow attempt delays no other call.
+    /// A target without a report is not.
+    pub fn has_room_for_hedge(&self, target: &TargetEndpoint, now: Instant) -> bool {
+        let Some(stats) = self.targets.get(&target.node) else {
+            return false;
+        };
+        let room = (f64::from(target.slots) * HEDGE_BUSY_FRACTION).max(1.0);
+        stats.reported_at.is_some()
+            && !self.is_backing_off(&target.node, now)
+            && stats.estimated_calls(now) + 1.0 <= room
+    }
+
     /// Returns whether a target is avoided because it could not be reached.
     pub fn is_backing_off(&self, node: &str, now: Instant) -> bool {
         let until = self.targets.get(node).and_then(|stats| stats.backoff_until);
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -102,6 +102,30 @@
     assert_eq!(chosen_node(&tracker, &[], now).as_deref(), Some("far"));
 }
 
+/// Guards against a target that hangs and stays as attractive as before, because its attempts are cancelled when their
+/// hedges answer, and against calls that leave a sound target after one slow answer.
+#[test]
+fn calls_leave_a_target_whose_attempts_are_overtaken_in_a_row() {
+    let now = Instant::now();
+    let mut tracker = TargetTracker::default();
+    for node in ["near", "far"] {
+        tracker.record_load(node, "jobs", load(0, 0), now);
+    }
+    let overtaken = |tracker: &mut TargetTracker| {
+        tracker.begin("near");
+        tracker.end("near", TargetOutcome::Neutral, now);
+        tracker.record_overtaken("near", now);
+    };
+
+    overtaken(&mut tracker);
+    let after_one = chosen_node(&tracker, &[], now);
+    (0..2).for_each(|_| overtaken(&mut tracker));
+    let after_three = chosen_node(&tracker, &[], now);
+
+    assert_eq!(after_one.as_deref(), Some("near"));
+    assert_eq!(after_three.as_deref(), Some("far"));
+}
+
 /// Large bodies must not cross failure domains for a small gain in latency.
 #[test]
 fn a_large_body_stays_in_a_busy_failure_domain_that_a_small_one_leaves() {
--- a/tests/support/mesh_node.rs
+++ b/tests/support/mesh_node.rs
@@ -87,6 +87,7 @@
                 revocation_time: Duration::from_secs(5),
             },
         },
+        hedge_share: 0.0,
         headers: CallHeaders {
             call_id: header("x-call-id"),
             deadline: header("x-deadline"),
