--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,7 +1,7 @@
 //! State of a node that its servers and background tasks share.
 //!
 //! Lock order: `announcing`, then `registry`, then those of `board`, then `target_tracker`, `budgets`, `exposure`,
-//! `splits`, `caller_deadlines`, `remembered_version`. No lock is held across an await.
+//! `splits`, `caller_deadlines`, `remembered_version`, `hedge_delays`. No lock is held across an await.
 
 use {
     super::{
@@ -12,8 +12,9 @@
         target_selection::TargetTracker,
     },
     crate::{
-        blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode, ids::ConfigVersion,
-        node_metrics::NodeMetrics, target_client::TargetClient,
+        attempts::hedge_delay::HedgeDelays, blackboard::Blackboard, event_log::LogRateLimiter,
+        gossip::GossipNode, ids::ConfigVersion, node_metrics::NodeMetrics,
+        target_client::TargetClient,
     },
     parking_lot::Mutex,
     std::{sync::Arc, time::Instant},
@@ -62,6 +63,8 @@
     /// Highest configuration version that peers, in their replies to joins, remember to have been in force on this
     /// node; none before the first reply.
     pub remembered_version: Mutex<Option<ConfigVersion>>,
+    /// Time after which an attempt counts as slow, for hedges that the operator allows.
+    pub hedge_delays: Mutex<HedgeDelays>,
     /// Rate limit of the log lines about single calls.
     pub call_log_limiter: LogRateLimiter,
     /// Shutdown of the node, and which calls are taken meanwhile.
@@ -81,7 +84,8 @@
     ) -> Self {
         let mut registry = TargetRegistry::new(settings.target_address, settings.heartbeat);
         registry.hold();
-        let budgets = RetryShares::new(&settings.bounds);
+        let budgets = RetryShares::new(&settings.bounds).with_hedge_share(settings.hedge_share);
+        let hedge_delays = HedgeDelays::new(settings.hedge_share);
         let exposure = ExposureLimits::new(&settings.bounds);
         let clients = ClientConnections::new(settings.clients);
         let held_bytes = HeldBytes::new(settings.body_memory).with_clients(clients.clone());
@@ -108,6 +112,7 @@
             splits: Mutex::default(),
             caller_deadlines: Mutex::default(),
             remembered_version: Mutex::default(),
+            hedge_delays: Mutex::new(hedge_delays),
             call_log_limiter: LogRateLimiter::default(),
             shutdown: Shutdown::default(),
             announcing: Mutex::default(),
