--- a/src/mesh/entry/choice.rs
+++ b/src/mesh/entry/choice.rs
@@ -1,13 +1,16 @@
 //! Selection of the target of an attempt, among those whose version may receive the call.
 
 use {
-    super::{NOT_READY_RETRY_AFTER, history::AttemptHistory},
+    super::{NOT_READY_RETRY_AFTER, progress::CallProgress},
     crate::{
         ids::NodeId,
         membership::TargetEndpoint,
         mesh::{
-            context::MeshContext, entry_call::EntryCall, exposure_limit::MoveKnowledge,
-            refusal::MeshRefusal, target_selection::CallNeeds,
+            context::MeshContext,
+            entry_call::EntryCall,
+            exposure_limit::MoveKnowledge,
+            refusal::MeshRefusal,
+            target_selection::{CallNeeds, TargetTracker},
         },
     },
     std::time::Instant,
@@ -100,34 +103,52 @@
 pub(super) fn choose_target(
     context: &MeshContext,
     call: &EntryCall,
-    history: &mut AttemptHistory,
+    progress: &mut CallProgress,
+) -> Result<TargetEndpoint, ChoiceError> {
+    let excluded = progress.ledger.excluded();
+    let chosen = choose_among(context, call, progress, &excluded, |_, _| true);
+    if chosen != Err(ChoiceError::NoTarget) || !progress.ledger.begin_last_round() {
+        return chosen;
+    }
+    let excluded = progress.ledger.excluded();
+    choose_among(context, call, progress, &excluded, |_, _| true)
+}
+
+/// Selects the target of a hedge, among those that no attempt was sent to; with `needs_room`, among those of them that
+/// are expected to be idle enough.
+pub(super) fn choose_hedge_target(
+    context: &MeshContext,
+    call: &EntryCall,
+    progress: &CallProgress,
+    needs_room: bool,
+) -> Option<TargetEndpoint> {
+    let now = Instant::now();
+    let asked = progress.ledger.asked();
+    let chosen = choose_among(context, call, progress, &asked, |tracker, target| {
+        !needs_room || tracker.has_room_for_hedge(target, now)
+    });
+    chosen.ok()
+}
+
+fn choose_among(
+    context: &MeshContext,
+    call: &EntryCall,
+    progress: &CallProgress,
+    excluded: &[NodeId],
+    is_suitable: impl Fn(&TargetTracker, &TargetEndpoint) -> bool,
 ) -> Result<TargetEndpoint, ChoiceError> {
     let draw = version_draw(context, call);
     let mut eligible = eligible_targets(context, call, draw)?;
-    eligible.retain(|target| !history.drained.contains(&target.domain));
-    let excluded: Vec<NodeId> = match history.last_round {
-        true => history.tried.clone(),
-        false => history.tried.iter().chain(&history.full).cloned().collect(),
+    eligible.retain(|target| !progress.drained.contains(&target.domain));
+    let needs = CallNeeds {
+        route: &call.route.name,
+        latency_objective: call.route.latency_objective,
+        own_domain: &context.settings.node.failure_domain,
+        body_bytes: call.content.len(),
     };
-    let chosen = context
-        .target_tracker
-        .lock()
-        .choose(
-            &eligible,
-            &excluded,
-            &CallNeeds {
-                route: &call.route.name,
-                latency_objective: call.route.latency_objective,
-                own_domain: &context.settings.node.failure_domain,
-                body_bytes: call.content.len(),
-            },
-            Instant::now(),
-            &mut rand::rng(),
-        )
-        .cloned();
-    if chosen.is_none() && !history.last_round && !history.full.is_empty() {
-        history.last_round = true;
-        return choose_target(context, call, history);
-    }
-    chosen.ok_or(ChoiceError::NoTarget)
+    let tracker = context.target_tracker.lock();
+    eligible.retain(|target| is_suitable(&tracker, target));
+    let mut rng = rand::rng();
+    let chosen = tracker.choose(&eligible, excluded, &needs, Instant::now(), &mut rng);
+    chosen.cloned().ok_or(ChoiceError::NoTarget)
 }
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        client_limits::ClientLimits,
         config::ServiceKey,
         settings::{GossipSection, LogSection, NodeSection},
     },
@@ -32,8 +33,13 @@
     pub heartbeat: Duration,
     /// Memory that the bodies of requests and responses may take together, in bytes.
     pub body_memory: usize,
+    /// Limits of the connections of clients together.
+    pub clients: ClientLimits,
     /// Limits that the operator sets for the whole fleet.
     pub bounds: MeshBounds,
+    /// Share of a service's calls that may be sent to a second target because they are slow for their route; 0 turns
+    /// these hedges off.
+    pub hedge_share: f64,
     /// Names of the headers that callers and targets use.
     pub headers: CallHeaders,
 }
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         call_events::ReasonCode,
+        client_limits::ShedReason,
         config::ServiceKey,
         ids::{ConfigVersion, VersionName},
     },
@@ -86,6 +87,20 @@
     TakenBack,
 }
 
+/// What happened to a hedge, which is a second attempt beside one that is slow; value of the label `event`.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum HedgeEvent {
+    /// It was sent.
+    #[display("started")]
+    Started,
+    /// Its response was the first good one.
+    #[display("won")]
+    Won,
+    /// It was cancelled because the attempt before it answered first.
+    #[display("cancelled")]
+    Cancelled,
+}
+
 /// Proportion of a service's calls that one of its versions receives.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct VersionShare {
@@ -97,6 +112,17 @@
     pub permille: u32,
 }
 
+/// What the connections of clients take at a node at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClientLoad {
+    /// Open connections.
+    pub connections: u64,
+    /// Bytes charged for their buffers.
+    pub buffer_bytes: u64,
+    /// Bytes of the bodies that the node holds.
+    pub body_bytes: u64,
+}
+
 /// Metrics of a node; clones update the same metrics.
 #[derive(Clone, Debug)]
 pub struct NodeMetrics {
@@ -112,11 +138,16 @@
     call_latency: Histogram<f64>,
     calls: Counter<u64>,
     retries: Counter<u64>,
+    hedges: Counter<u64>,
     refusals: Counter<u64>,
     config_version: Gauge<u64>,
     drained_domains: Gauge<u64>,
     cold_time: Gauge<f64>,
     cold_refusals: Counter<u64>,
+    client_connections: Gauge<u64>,
+    client_buffers: Gauge<u64>,
+    bodies: Gauge<u64>,
+    sheds: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -144,6 +175,11 @@
             call_latency: call_latency_histogram(&meter),
             calls: counter(&meter, "poplarwing_calls", "Calls ended, by outcome."),
             retries: counter(&meter, "poplarwing_retries", "Calls sent again."),
+            hedges: counter(
+                &meter,
+                "poplarwing_hedges",
+                "Attempts sent beside a slow one, by event.",
+            ),
             refusals: counter(&meter, "poplarwing_refusals", "Calls refused, by reason."),
             config_version: config_version_gauge(&meter),
             drained_domains: drained_domains_gauge(&meter),
@@ -153,6 +189,22 @@
                 "poplarwing_cold_refusals",
                 "Calls that the node beside a cold target refused.",
             ),
+            client_connections: gauge(
+                &meter,
+                "poplarwing_client_connections",
+                "Open connections of clients.",
+            ),
+            client_buffers: gauge(
+                &meter,
+                "poplarwing_client_buffer_bytes",
+                "Bytes charged for buffers of client connections.",
+            ),
+            bodies: gauge(&meter, "poplarwing_body_bytes", "Bytes of bodies held."),
+            sheds: counter(
+                &meter,
+                "poplarwing_connections_shed",
+                "Connections of clients closed by the node, by reason.",
+            ),
         })
     }
 
@@ -194,11 +246,17 @@
             .add(1, &[KeyValue::new("outcome", outcome.to_string())]);
     }
 
-    /// Counts a retry of a call.
+    /// Counts a retry of a call; a hedge is none.
     pub fn count_retry(&self) {
         self.retries.add(1, &[]);
     }
 
+    /// Counts what happened to a hedge.
+    pub fn count_hedge(&self, event: HedgeEvent) {
+        self.hedges
+            .add(1, &[KeyValue::new("event", event.to_string())]);
+    }
+
     /// Counts a refused call by reason code; the codes are constants, so the number of time series stays
     /// small.
     pub fn count_refusal(&self, reason: impl Into<ReasonCode>) {
@@ -206,6 +264,19 @@
             .add(1, &[KeyValue::new("reason", reason.into())]);
     }
 
+    /// Sets what the connections of clients take at present.
+    pub fn set_client_load(&self, load: ClientLoad) {
+        self.client_connections.record(load.connections, &[]);
+        self.client_buffers.record(load.buffer_bytes, &[]);
+        self.bodies.record(load.body_bytes, &[]);
+    }
+
+    /// Counts connections of clients that the node closed.
+    pub fn count_sheds(&self, reason: ShedReason, count: u64) {
+        let label = KeyValue::new("reason", reason.to_string());
+        self.sheds.add(count, &[label]);
+    }
+
     /// Replaces the shares of all versions, so that no time series remains for a removed version.
     pub fn set_version_shares(&self, shares: Vec<VersionShare>) {
         *self.shares.lock() = shares;
@@ -286,6 +357,10 @@
         .build()
 }
 
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
 fn config_version_gauge(meter: &Meter) -> Gauge<u64> {
     let builder = meter.u64_gauge("poplarwing_config_version");
     builder
