Add the protocol of fleet-wide usage caps

The cap of a client account holds over all nodes together, and many caps are a few calls a second over dozens of nodes, so a fixed part of a node is below one call, and parts that follow demand double during a partition.

Each node owns one part in N of every cap and delegates it for a short time to the keeper of the account's slot, which grants tokens against the parts that it holds. A delegation ends by the keeper's clock, a node gives its part to another keeper only when the earlier delegation has certainly ended, and new buckets are empty. The module is free of I/O and clocks and is not used yet.

--- a/src/gossip/machine/packets.rs
+++ b/src/gossip/machine/packets.rs
@@ -213,7 +213,8 @@
                 self.relay_probe(request, packet.number, from, now, tables, output);
             }
             Some(GossipKind::Push(_)) => self.respond_to_push(packet, from, tables, output),
-            None => {}
+            // `GossipNode` passes these on and does not hand them to the membership protocol.
+            Some(GossipKind::CapAsk(_) | GossipKind::CapAnswer(_)) | None => {}
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod accounts;
 pub mod active_config;
 pub mod admin_api;
 pub mod admin_changes;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -32,7 +32,7 @@
     #[prost(message, repeated, tag = "5")]
     pub events: Vec<GossipEvent>,
     /// Purpose of the packet; a packet without one is rejected.
-    #[prost(oneof = "GossipKind", tags = "6, 7, 8, 9")]
+    #[prost(oneof = "GossipKind", tags = "6, 7, 8, 9, 11, 12")]
     pub kind: Option<GossipKind>,
     /// How current the sender's copy of the platform store is; absent if the sender has none.
     #[prost(message, optional, tag = "10")]
@@ -70,6 +70,12 @@
     /// Announces a configuration version and events; expects no `Ack`.
     #[prost(message, tag = "9")]
     Push(Push),
+    /// Requests tokens of usage caps, and delegates the sender's share of them.
+    #[prost(message, tag = "11")]
+    CapAsk(CapAsk),
+    /// Response to `CapAsk`.
+    #[prost(message, tag = "12")]
+    CapAnswer(CapAnswer),
 }
 
 /// Requests an `Ack` from the receiver.
@@ -99,6 +105,82 @@
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Push {}
 
+/// Requests tokens of the usage caps of one slot from its keeper, and delegates the sender's share of them.
+///
+/// The number of the packet grows with each such message of a node; a delegation replaces one with a lower number.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CapAsk {
+    /// Slot of the accounts.
+    #[prost(uint32, tag = "1")]
+    pub slot: u32,
+    /// Number of nodes among which the sender divides the caps; it delegates one part of as many.
+    #[prost(uint32, tag = "2")]
+    pub nodes: u32,
+    /// Identifier of the keeper's clock that `ends_ms` refers to; a delegation to another one is ignored.
+    #[prost(fixed64, tag = "3")]
+    pub clock_id: u64,
+    /// Time of the keeper's clock in milliseconds at which the delegation ends; 0 without a delegation.
+    #[prost(uint64, tag = "4")]
+    pub ends_ms: u64,
+    /// Whether the sender asks for its share back.
+    #[prost(bool, tag = "5")]
+    pub release: bool,
+    /// Requested tokens.
+    #[prost(message, repeated, tag = "6")]
+    pub needs: Vec<TokenNeed>,
+}
+
+/// Request for tokens of one account.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct TokenNeed {
+    /// Digest of the account's name, `accounts::cap_terms::account_digest`.
+    #[prost(fixed64, tag = "1")]
+    pub account: u64,
+    /// Tokens wanted.
+    #[prost(uint32, tag = "2")]
+    pub tokens: u32,
+}
+
+/// Response to `CapAsk` with the same packet number.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CapAnswer {
+    /// Slot of the accounts.
+    #[prost(uint32, tag = "1")]
+    pub slot: u32,
+    /// Identifier of the sender's clock; a restarted process has another one.
+    #[prost(fixed64, tag = "2")]
+    pub clock_id: u64,
+    /// Time of the sender's clock in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub clock_ms: u64,
+    /// Number of nodes that the sender counts itself, without what its peers have reported.
+    #[prost(uint32, tag = "4")]
+    pub nodes: u32,
+    /// Whether the requested release has taken effect.
+    #[prost(bool, tag = "5")]
+    pub released: bool,
+    /// Whether the sender holds any share of the caps of the slot.
+    #[prost(bool, tag = "6")]
+    pub holds_share: bool,
+    /// Granted tokens, for each requested account.
+    #[prost(message, repeated, tag = "7")]
+    pub grants: Vec<TokenGrant>,
+}
+
+/// Tokens granted for one account.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct TokenGrant {
+    /// Digest of the account's name.
+    #[prost(fixed64, tag = "1")]
+    pub account: u64,
+    /// Tokens granted.
+    #[prost(uint32, tag = "2")]
+    pub tokens: u32,
+    /// Time in milliseconds until a further token is there; 0 if all were granted.
+    #[prost(uint32, tag = "3")]
+    pub wait_ms: u32,
+}
+
 /// Event that nodes gossip.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct GossipEvent {
