Enforce the usage caps of client accounts

The configuration had usage caps, but nodes did not act on them. The entry node now admits a call of an account with a cap by a token before it reads the body; without one it answers 429 `usage-cap` with the time until there is room, or 503 `usage-unknown` if no keeper can tell. The token of a call that has not run is given back. The exchange with keepers runs over the gossip socket in packets that earlier nodes drop, and only while an account has a cap.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -18,7 +18,7 @@
         membership::{MemberRecord, MemberState, TargetRecord},
         settings::{GossipSection, NodeSection, NodeSettings},
         veto_table::VetoRecord,
-        wire::{JoinReply, MemberEvent},
+        wire::{GossipKind, GossipPacket, JoinReply, MemberEvent, PROTOCOL_VERSION},
         wire_codec::{PacketError, decode_packet, encode_packet},
     },
     confirmation_age::{ClockReading, ConfirmationAge},
@@ -36,7 +36,7 @@
     },
     tokio::{
         net::UdpSocket,
-        sync::watch,
+        sync::{mpsc, watch},
         time::{Instant, sleep, sleep_until},
     },
     tokio_util::sync::CancellationToken,
@@ -66,6 +66,18 @@
 /// Time between two pushes of a leaving node.
 const LEAVE_PUSH_GAP: Duration = Duration::from_millis(100);
 
+/// Packets about usage caps that may wait to be handled; further ones are dropped, as the network may drop them.
+const CAP_INBOX_PACKETS: usize = 1024;
+
+/// Packet about usage caps, which the membership protocol does not handle.
+#[derive(Debug)]
+pub struct CapPacket {
+    /// Address of the sender, to answer to.
+    pub from: SocketAddr,
+    /// The packet; its kind is `CapAsk` or `CapAnswer`.
+    pub packet: GossipPacket,
+}
+
 /// Configuration pulls of a node; at most one runs at a time.
 #[derive(Debug, Default)]
 struct PullState {
@@ -88,6 +100,8 @@
     process_epoch: u64,
     socket: OnceLock<Arc<UdpSocket>>,
     pull: Mutex<PullState>,
+    /// Receiver of the packets about usage caps; unset in a node that has no caps.
+    cap_inbox: OnceLock<mpsc::Sender<CapPacket>>,
 }
 
 /// Gossip membership of one node; clones share the state.
@@ -132,6 +146,7 @@
             process_epoch: process_epoch(),
             socket: OnceLock::new(),
             pull: Mutex::new(PullState::default()),
+            cap_inbox: OnceLock::new(),
         };
         Self {
             shared: Arc::new(shared),
@@ -203,6 +218,26 @@
         self.shared.newer_moves.subscribe()
     }
 
+    /// Returns the channel of the packets about usage caps; only the first call gets them.
+    pub fn cap_packets(&self) -> mpsc::Receiver<CapPacket> {
+        let (sender, receiver) = mpsc::channel(CAP_INBOX_PACKETS);
+        // A second receiver finds its channel closed.
+        drop(self.shared.cap_inbox.set(sender));
+        receiver
+    }
+
+    /// Sends a packet about usage caps.
+    pub fn send_cap(&self, address: SocketAddr, number: u64, kind: GossipKind) {
+        let packet = GossipPacket {
+            protocol: PROTOCOL_VERSION,
+            sender: self.shared.node.id.clone(),
+            number,
+            kind: Some(kind),
+            ..GossipPacket::default()
+        };
+        self.send(&OutgoingPacket { address, packet });
+    }
+
     /// Gossips a veto.
     pub fn gossip_veto(&self, veto: VetoRecord) {
         self.run_step(|machine, _, tables| machine.gossip_veto(veto, tables));
@@ -319,6 +354,11 @@
         counters.packets_in.add(1);
         counters.packet_bytes_in.add(datagram.len() as u64);
         match decode_packet(datagram) {
+            Ok(packet) if is_cap_packet(&packet) => {
+                if let Some(inbox) = self.shared.cap_inbox.get() {
+                    drop(inbox.try_send(CapPacket { from, packet }));
+                }
+            }
             Ok(packet) => {
                 let newer = self.run_step(|machine, now, tables| {
                     machine.handle_packet(&packet, from, now, tables)
@@ -511,6 +551,13 @@
     })
 }
 
+fn is_cap_packet(packet: &GossipPacket) -> bool {
+    matches!(
+        packet.kind,
+        Some(GossipKind::CapAsk(_) | GossipKind::CapAnswer(_))
+    )
+}
+
 /// Returns the milliseconds since the Unix epoch, so that a later start has a higher number.
 fn process_epoch() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -39,3 +39,4 @@
 pub mod target;
 pub mod target_check;
 pub mod target_selection;
+pub mod usage_caps;
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,7 +1,7 @@
 //! State of a node that its servers and background tasks share.
 //!
-//! Lock order: `announcing`, then `registry`, then those of `board`, then `target_tracker`, `budgets`, `exposure`,
-//! `splits`, `caller_deadlines`. No lock is held across an await.
+//! Lock order: `announcing`, then `registry`, then the census of `usage_caps`, then those of `board`, then `target_tracker`, `budgets`, `exposure`,
+//! `splits`, `caller_deadlines`, the machine of `usage_caps`. No lock is held across an await.
 
 use {
     super::{
@@ -9,6 +9,7 @@
         exposure_limit::ExposureLimits, held_bytes::HeldBytes, hop::HopClient,
         registry::TargetRegistry, retry_share::RetryShares, settings::MeshSettings,
         shutdown::Shutdown, split::RouteSplits, target_selection::TargetTracker,
+        usage_caps::UsageCaps,
     },
     crate::{
         blackboard::Blackboard, event_log::LogRateLimiter, gossip::GossipNode,
@@ -52,6 +53,8 @@
     pub splits: Mutex<RouteSplits>,
     /// Deadlines that callers sent, for the time spent on earlier attempts.
     pub caller_deadlines: Mutex<CallerDeadlines>,
+    /// Usage caps of the client accounts.
+    pub usage_caps: UsageCaps,
     /// Rate limit of the log lines about single calls.
     pub call_log_limiter: LogRateLimiter,
     /// Shutdown of the node, and which calls are taken meanwhile.
@@ -74,6 +77,7 @@
         let budgets = RetryShares::new(&settings.bounds);
         let exposure = ExposureLimits::new(&settings.bounds);
         let held_bytes = HeldBytes::new(settings.body_memory);
+        let usage_caps = UsageCaps::new(&settings.node.id, gossip.process_epoch());
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
         Self {
             settings,
@@ -90,6 +94,7 @@
             exposure: Mutex::new(exposure),
             splits: Mutex::default(),
             caller_deadlines: Mutex::default(),
+            usage_caps,
             call_log_limiter: LogRateLimiter::default(),
             shutdown: Shutdown::default(),
             announcing: Mutex::default(),
--- a/src/mesh/entry.rs
+++ b/src/mesh/entry.rs
@@ -32,7 +32,13 @@
     let started = Instant::now();
     let call_id = header_text(request.headers(), &context.settings.headers.call_id);
     let result = match accept_call(&context, request, started, call_id.clone()).await {
-        Ok(call) => run_call(&context, &call).await,
+        Ok(call) => {
+            let result = run_call(&context, &call).await;
+            if result.as_ref().is_err_and(MeshRefusal::has_not_run) {
+                context.usage_caps.give_back(call.permit.as_ref());
+            }
+            result
+        }
         Err(refusal) => Err(refusal),
     };
     count_outcome(&context, &result, started.elapsed());
--- a/src/mesh/entry/intake.rs
+++ b/src/mesh/entry/intake.rs
@@ -2,17 +2,22 @@
 
 use {
     super::{NOT_READY_RETRY_AFTER, header_text},
-    crate::mesh::{
-        context::MeshContext,
-        entry_call::EntryCall,
-        http::{WholeBodyError, read_whole},
-        refusal::MeshRefusal,
-        startup_wait::wait_for_config,
-        target::MAX_REQUEST_BYTES,
+    crate::{
+        active_config::ActiveConfig,
+        ids::AccountName,
+        mesh::{
+            context::MeshContext,
+            entry_call::EntryCall,
+            http::{WholeBodyError, read_whole},
+            refusal::MeshRefusal,
+            startup_wait::wait_for_config,
+            target::MAX_REQUEST_BYTES,
+            usage_caps::admit_usage,
+        },
     },
     bytes::Bytes,
     http::{
-        HeaderMap, Request, StatusCode,
+        HeaderMap, HeaderName, Request, StatusCode,
         header::{CONTENT_LENGTH, HOST},
         request::Parts,
     },
@@ -61,14 +66,22 @@
     });
     let config_version = config.version;
     let (head, body) = request.into_parts();
-    let content = read_body(context, &head, body, limit, deadline).await?;
+    let account = account_of(&config, &head.headers);
+    let permit = match &account {
+        Some(account) => admit_usage(context, account, deadline).await?,
+        None => None,
+    };
+    let give_back = |_: &MeshRefusal| context.usage_caps.give_back(permit.as_ref());
+    let content = read_body(context, &head, body, limit, deadline).await;
+    let content = content.inspect_err(give_back)?;
     let mut rng = rand::rng();
     let draw = rng.random_range(0..1000);
     let service = context
         .splits
         .lock()
         .next(&route, config_version, &mut rng)
-        .ok_or_else(|| MeshRefusal::not_run("no-service", NOT_READY_RETRY_AFTER))?;
+        .ok_or_else(|| MeshRefusal::not_run("no-service", NOT_READY_RETRY_AFTER))
+        .inspect_err(give_back)?;
     Ok(EntryCall {
         route,
         service,
@@ -80,9 +93,21 @@
         waited_before,
         deadline,
         draw,
+        permit,
     })
 }
 
+/// Header with the key of a caller's account.
+const ACCOUNT_KEY_HEADER: HeaderName = HeaderName::from_static("x-api-key");
+
+/// Returns the account whose key a call carries.
+fn account_of(config: &ActiveConfig, headers: &HeaderMap) -> Option<AccountName> {
+    let key = headers.get(ACCOUNT_KEY_HEADER)?.to_str().ok()?;
+    let mut accounts = config.accounts();
+    let account = accounts.find(|spec| spec.keys.iter().any(|known| known.secret() == key))?;
+    Some(account.account.clone())
+}
+
 /// Returns the time left until the deadline that the caller sent; none if it sent no deadline.
 fn caller_deadline(
     context: &MeshContext,
--- a/src/mesh/entry_call.rs
+++ b/src/mesh/entry_call.rs
@@ -1,6 +1,7 @@
 //! A call at its entry node, which received it from the caller.
 
 use {
+    super::usage_caps::UsagePermit,
     crate::config::{HostRoute, ServiceKey},
     bytes::Bytes,
     http::request::Parts,
@@ -35,6 +36,8 @@
     pub deadline: Instant,
     /// Random number, uniform in 0..1000; selects the version while a move is running.
     pub draw: u32,
+    /// Token of the account's usage cap; none if the call is not limited.
+    pub permit: Option<UsagePermit>,
 }
 
 impl EntryCall {
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -16,6 +16,7 @@
         store_feed::{StoreClock, follow_moves, follow_orders},
         target::answer_hop,
         target_check::confirm_target,
+        usage_caps::run_usage_caps,
     },
     crate::{
         blackboard::Blackboard,
@@ -254,6 +255,8 @@
     spawn_task(&mut tasks, "move driver", run_until(background, driver));
     let peers = discover_peers(context.clone(), port.clone());
     spawn_task(&mut tasks, "peers", run_until(background, peers));
+    let caps = run_usage_caps(context.clone());
+    spawn_task(&mut tasks, "usage caps", run_until(background, caps));
     let (watched, checked) = (context.clone(), context.clone());
     let watch = async move {
         tokio::join!(watch_target(watched), confirm_target(checked));
--- a/src/mesh/node_rank.rs
+++ b/src/mesh/node_rank.rs
@@ -3,7 +3,10 @@
 
 use {
     super::context::MeshContext,
-    crate::membership::{MemberRecord, MemberState},
+    crate::{
+        ids::NodeId,
+        membership::{MemberRecord, MemberState},
+    },
     std::{collections::BTreeSet, hash::Hasher},
     xxhash_rust::xxh3::Xxh3,
 };
@@ -35,6 +38,20 @@
     before.count()
 }
 
+/// Returns the first `count` live nodes by rank for a duty, this node included.
+pub fn first_nodes(context: &MeshContext, duty: &str, count: usize) -> Vec<NodeId> {
+    let members = context.board.members.lock();
+    let live = members
+        .iter()
+        .filter(|record| record.state == MemberState::Alive);
+    let mut ranked: Vec<(u64, &NodeId)> = live
+        .map(|record| (weight(duty, &record.node), &record.node))
+        .collect();
+    ranked.sort_unstable();
+    let first = ranked.into_iter().take(count);
+    first.map(|(_, node)| node.clone()).collect()
+}
+
 /// Returns the place of a failure domain among those with live nodes.
 pub fn domain_rank(context: &MeshContext, duty: &str, domain: &str) -> DomainPlace {
     let members = context.board.members.lock();
--- a/src/mesh/peer_discovery.rs
+++ b/src/mesh/peer_discovery.rs
@@ -109,6 +109,7 @@
             // sees the other.
             written = written || log_failure((port.write_peer)(own.clone()).await).is_some();
             if let Some(rows) = log_failure((port.list_peers)().await) {
+                context.usage_caps.set_rows(&rows);
                 search.rows = rows;
             }
             schedule.restart();
--- a/src/mesh/refusal.rs
+++ b/src/mesh/refusal.rs
@@ -57,6 +57,16 @@
         Self::not_run("node-stopping", STOPPING_RETRY_AFTER)
     }
 
+    /// Returns the refusal of a call beyond the usage cap of its account; `wait` is the time until there is room.
+    pub fn over_cap(wait: Duration) -> Self {
+        Self {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            execution: ExecutionStatus::NotRun,
+            reason: "usage-cap".into(),
+            retry_after: Some(wait),
+        }
+    }
+
     /// Returns the error of a request that may have run.
     pub fn unknown(status: StatusCode, reason: &'static str) -> Self {
         Self {
@@ -77,6 +87,11 @@
         }
     }
 
+    /// Returns whether the request has certainly not run.
+    pub fn has_not_run(&self) -> bool {
+        self.execution == ExecutionStatus::NotRun
+    }
+
     /// Returns the response for a caller.
     pub fn answer(&self) -> Response<WholeBody> {
         let mut response = Response::new(Full::new(Bytes::from(format!("{}\n", self.reason))));
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -113,6 +113,7 @@
     calls: Counter<u64>,
     retries: Counter<u64>,
     refusals: Counter<u64>,
+    cap_tokens: Counter<u64>,
     config_version: Gauge<u64>,
 }
 
@@ -142,6 +143,11 @@
             calls: counter(&meter, "poplarwing_calls", "Calls ended, by outcome."),
             retries: counter(&meter, "poplarwing_retries", "Calls sent again."),
             refusals: counter(&meter, "poplarwing_refusals", "Calls refused, by reason."),
+            cap_tokens: counter(
+                &meter,
+                "poplarwing_cap_tokens",
+                "Tokens of usage caps that this node granted as a keeper.",
+            ),
             config_version: config_version_gauge(&meter),
         })
     }
@@ -196,6 +202,11 @@
             .add(1, &[KeyValue::new("reason", reason.into())]);
     }
 
+    /// Counts tokens of usage caps that this node granted to entry nodes.
+    pub fn count_cap_tokens(&self, tokens: u64) {
+        self.cap_tokens.add(tokens, &[]);
+    }
+
     /// Replaces the shares of all versions, so that no time series remains for a removed version.
     pub fn set_version_shares(&self, shares: Vec<VersionShare>) {
         *self.shares.lock() = shares;
