--- a/tests/accounts_caps.rs
+++ b/tests/accounts_caps.rs
@@ -7,6 +7,7 @@
     cap_simulation::{CapSimulation, LinkModel},
     poplarwing::{
         accounts::{
+            cap_fleet::{KnownNode, NodeCensus},
             cap_machine::MAX_NEEDS,
             cap_terms::{
                 AccountDigest, CAP_SLOTS, CapTerms, CapTolerance, account_digest, slot_of,
@@ -454,6 +455,36 @@
     }
 }
 
+fn known_nodes(members: &[(&'static str, bool)]) -> Vec<KnownNode<'static>> {
+    let members = members.iter();
+    members
+        .map(|(node, has_left)| KnownNode {
+            node,
+            has_left: *has_left,
+        })
+        .collect()
+}
+
+/// Guards against a part of a cap that a node takes over from one that may still run: one that only the store lists, or
+/// one that leaves and is restarted while some peers cannot hear of it.
+#[test]
+fn a_node_counts_until_some_time_after_it_has_left() {
+    let mut census = NodeCensus::default();
+    census.set_rows(["a", "unreached"].map(str::to_owned).into_iter());
+    let running = known_nodes(&[("a", false), ("b", false)]);
+    let leaving = known_nodes(&[("a", false), ("b", true)]);
+    let start = Duration::from_secs(100);
+
+    let before = census.count(running.clone().into_iter(), start);
+    let at_departure = census.count(leaving.clone().into_iter(), start);
+    let soon = census.count(leaving.clone().into_iter(), start + Duration::from_secs(20));
+    let later = census.count(leaving.into_iter(), start + Duration::from_secs(40));
+    let back = census.count(running.into_iter(), start + Duration::from_secs(50));
+
+    assert_eq!((before, at_departure, soon), (3, 3, 3));
+    assert_eq!((later, back), (2, 3));
+}
+
 /// Guards against a message with the most accounts that is too long for a datagram, so that it could not be sent.
 #[test]
 fn the_longest_messages_fit_in_a_packet() {
