Own no part of a cap before the fleet is known

A node owned its part 2.5 s after its start, also if it had heard of no other node by then: it took itself for the whole fleet and its part for the whole cap. It now also needs the rows of the store or an answer of a keeper.

What is left: a node that knows a part of the fleet only.

accounts_caps: 12 tests pass; usage_caps and node_calls pass.

--- a/src/accounts/cap_fleet.rs
+++ b/src/accounts/cap_fleet.rs
@@ -34,6 +34,7 @@
 #[derive(Debug, Default)]
 pub struct NodeCensus {
     rows: BTreeSet<NodeId>,
+    has_rows: bool,
     /// When each departed member was first seen as such.
     departed_at: HashMap<NodeId, Duration>,
 }
@@ -42,6 +43,12 @@
     /// Sets the nodes that have a row in the store.
     pub fn set_rows(&mut self, rows: impl Iterator<Item = NodeId>) {
         self.rows = rows.collect();
+        self.has_rows = true;
+    }
+
+    /// Returns whether the rows of the store have been read.
+    pub fn has_rows(&self) -> bool {
+        self.has_rows
     }
 
     /// Returns the number of nodes that are not known to have ended, at least 1.
@@ -77,6 +84,9 @@
     started: Duration,
     counted: usize,
     leaving: bool,
+    /// Whether the store or a peer has told this node of the fleet. Without it the node would take itself for the whole
+    /// of the fleet.
+    is_confirmed: bool,
     /// Numbers that peers counted themselves, with the time of their arrival.
     reports: HashMap<NodeId, (usize, Duration)>,
 }
@@ -88,12 +98,15 @@
             started,
             counted: 1,
             leaving: false,
+            is_confirmed: false,
             reports: HashMap::new(),
         }
     }
 
-    /// Sets the number of nodes that this node counts, and whether it is leaving.
-    pub fn update(&mut self, counted: usize, leaving: bool, now: Duration) {
+    /// Sets the number of nodes that this node counts, and whether it is leaving. `has_rows` tells whether it has read
+    /// the rows of the store since its start.
+    pub fn update(&mut self, counted: usize, has_rows: bool, leaving: bool, now: Duration) {
+        self.is_confirmed |= has_rows;
         self.counted = counted.max(1);
         self.leaving = leaving;
         self.reports
@@ -103,6 +116,7 @@
     /// Records the number of nodes that a peer counts itself. A restarted node learns so of members that are dead for
     /// its peers and are not listed to it.
     pub fn report(&mut self, peer: &str, nodes: usize, now: Duration) {
+        self.is_confirmed = true;
         self.reports.insert(peer.to_owned(), (nodes, now));
     }
 
@@ -121,6 +135,6 @@
     /// ended, and it is not leaving.
     pub fn owns_share(&self, previous_life: Duration, now: Duration) -> bool {
         let age = now.saturating_sub(self.started);
-        !self.leaving && age >= FLEET_KNOWN_AFTER.max(previous_life)
+        !self.leaving && self.is_confirmed && age >= FLEET_KNOWN_AFTER.max(previous_life)
     }
 }
--- a/src/accounts/cap_machine.rs
+++ b/src/accounts/cap_machine.rs
@@ -56,6 +56,8 @@
 pub struct FleetView {
     /// Number of nodes that are not known to have ended, see `cap_fleet::NodeCensus`.
     pub nodes: usize,
+    /// Whether the rows of the store have been read since the start.
+    pub has_rows: bool,
     /// Whether this node is leaving.
     pub is_leaving: bool,
     /// For each slot the first `KEEPER_CANDIDATES` live nodes by rank.
@@ -143,7 +145,8 @@
 
     /// Takes over a new view of the fleet.
     pub fn set_fleet(&mut self, view: FleetView, now: Duration) {
-        self.fleet.update(view.nodes, view.is_leaving, now);
+        self.fleet
+            .update(view.nodes, view.has_rows, view.is_leaving, now);
         self.keeper.set_nodes(self.fleet.nodes());
         self.keepers = view.keepers;
         self.keepers.resize(CAP_SLOTS, Vec::new());
--- a/src/mesh/usage_caps.rs
+++ b/src/mesh/usage_caps.rs
@@ -240,6 +240,7 @@
     });
     FleetView {
         nodes,
+        has_rows: context.usage_caps.census.lock().has_rows(),
         is_leaving: context.is_leaving(),
         keepers: keepers.collect(),
     }
--- a/tests/support/cap_simulation.rs
+++ b/tests/support/cap_simulation.rs
@@ -502,6 +502,7 @@
         });
         FleetView {
             nodes,
+            has_rows: self.now >= own.started + ROWS_DELAY,
             is_leaving: own.is_leaving,
             keepers: keepers.collect(),
         }
