--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -43,3 +43,4 @@
 pub mod target_check;
 pub mod target_selection;
 pub mod target_warmup;
+pub mod usage_caps;
--- a/src/mesh/context.rs
+++ b/src/mesh/context.rs
@@ -1,7 +1,8 @@
 //! State of a node that its servers and background tasks share.
 //!
-//! Lock order: `announcing`, then `registry`, then those of `board`, then `target_tracker`, `budgets`, `exposure`,
-//! `splits`, `caller_deadlines`, `remembered_version`, `hedge_delays`. No lock is held across an await.
+//! Lock order: `announcing`, then `registry`, then the census of `usage_caps`, then those of `board`, then
+//! `target_tracker`, `budgets`, `exposure`, `splits`, `caller_deadlines`, `remembered_version`, `hedge_delays`, the
+//! machine of `usage_caps`. No lock is held across an await.
 
 use {
     super::{
@@ -9,7 +10,7 @@
         client_connections::ClientConnections, exposure_limit::ExposureLimits,
         held_bytes::HeldBytes, hop::HopClient, registry::TargetRegistry, retry_share::RetryShares,
         settings::MeshSettings, shutdown::Shutdown, split::RouteSplits,
-        target_selection::TargetTracker,
+        target_selection::TargetTracker, usage_caps::UsageCaps,
     },
     crate::{
         attempts::hedge_delay::HedgeDelays, blackboard::Blackboard, event_log::LogRateLimiter,
@@ -65,6 +66,8 @@
     pub remembered_version: Mutex<Option<ConfigVersion>>,
     /// Time after which an attempt counts as slow, for hedges that the operator allows.
     pub hedge_delays: Mutex<HedgeDelays>,
+    /// Usage caps of the client accounts.
+    pub usage_caps: UsageCaps,
     /// Rate limit of the log lines about single calls.
     pub call_log_limiter: LogRateLimiter,
     /// Shutdown of the node, and which calls are taken meanwhile.
@@ -89,6 +92,7 @@
         let exposure = ExposureLimits::new(&settings.bounds);
         let clients = ClientConnections::new(settings.clients);
         let held_bytes = HeldBytes::new(settings.body_memory).with_clients(clients.clone());
+        let usage_caps = UsageCaps::new(&settings.node.id, gossip.process_epoch());
         let target = TargetClient::new(settings.target_address, INITIAL_CONNECTIONS);
         let queue = AdmissionQueue::default();
         // At the first start of the fleet, the targets have been started before the calls.
@@ -113,6 +117,7 @@
             caller_deadlines: Mutex::default(),
             remembered_version: Mutex::default(),
             hedge_delays: Mutex::new(hedge_delays),
+            usage_caps,
             call_log_limiter: LogRateLimiter::default(),
             shutdown: Shutdown::default(),
             announcing: Mutex::default(),
--- a/src/mesh/entry/intake.rs
+++ b/src/mesh/entry/intake.rs
@@ -10,6 +10,7 @@
         refusal::MeshRefusal,
         startup_wait::wait_for_config,
         target::{MAX_REQUEST_BYTES, remove_account_headers},
+        usage_caps::admit_usage,
     },
     bytes::Bytes,
     http::{
@@ -69,14 +70,21 @@
     if config.keys().has_accounts() {
         remove_account_headers(context, &mut head.headers);
     }
-    let content = read_body(context, &head, body, limit, deadline).await?;
+    let permit = match &account {
+        Some(account) => admit_usage(context, &account.account, deadline).await?,
+        None => None,
+    };
+    let give_back = |_: &MeshRefusal| context.usage_caps.give_back(permit.as_ref());
+    let content = read_body(context, &head, body, limit, deadline).await;
+    let content = content.inspect_err(give_back)?;
     let mut rng = rand::rng();
     let draw = rng.random_range(0..1000);
     let service = context
         .splits
         .lock()
         .next(&route, config_version, &mut rng)
-        .ok_or_else(|| MeshRefusal::not_run("no-service", NOT_READY_RETRY_AFTER))?;
+        .ok_or_else(|| MeshRefusal::not_run("no-service", NOT_READY_RETRY_AFTER))
+        .inspect_err(give_back)?;
     Ok(EntryCall {
         route,
         service,
@@ -89,6 +97,7 @@
         waited_before,
         deadline,
         draw,
+        permit,
     })
 }
 
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -17,6 +17,7 @@
         target::answer_hop,
         target_check::confirm_target,
         target_warmup::{WarmupWatch, check_doubted_target},
+        usage_caps::run_usage_caps,
     },
     crate::{
         blackboard::Blackboard,
@@ -278,6 +279,8 @@
     spawn_task(&mut tasks, "move driver", run_until(background, driver));
     let peers = discover_peers(context.clone(), port.clone());
     spawn_task(&mut tasks, "peers", run_until(background, peers));
+    let caps = run_usage_caps(context.clone());
+    spawn_task(&mut tasks, "usage caps", run_until(background, caps));
     let (watched, checked, doubted) = (context.clone(), context.clone(), context.clone());
     let watch = async move {
         tokio::join!(
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -140,6 +140,7 @@
     retries: Counter<u64>,
     hedges: Counter<u64>,
     refusals: Counter<u64>,
+    cap_tokens: Counter<u64>,
     config_version: Gauge<u64>,
     drained_domains: Gauge<u64>,
     cold_time: Gauge<f64>,
@@ -181,6 +182,11 @@
                 "Attempts sent beside a slow one, by event.",
             ),
             refusals: counter(&meter, "poplarwing_refusals", "Calls refused, by reason."),
+            cap_tokens: counter(
+                &meter,
+                "poplarwing_cap_tokens",
+                "Tokens of usage caps that this node granted as a keeper.",
+            ),
             config_version: config_version_gauge(&meter),
             drained_domains: drained_domains_gauge(&meter),
             cold_time: cold_time_gauge(&meter),
@@ -277,6 +283,11 @@
         self.sheds.add(count, &[label]);
     }
 
+    /// Counts tokens of usage caps that this node granted to entry nodes.
+    pub fn count_cap_tokens(&self, tokens: u64) {
+        self.cap_tokens.add(tokens, &[]);
+    }
+
     /// Replaces the shares of all versions, so that no time series remains for a removed version.
     pub fn set_version_shares(&self, shares: Vec<VersionShare>) {
         *self.shares.lock() = shares;
