Weigh the present speed of a target in its admission

Targets that share their machines work 2.5 times as long in spells of about 0.6 s and tell so in the fourth figure of their load header, which was read nowhere. The node beside the target now reads it on every response that answers the request. Expected waits and finishes follow the present factor against its average, fading with a time constant of 0.6 s. A free slot is taken as before. The load header of a hop carries the factor as the token `s` after the five numbers; a malformed load is logged and ignored. Targets without the figure are served as before.

--- a/src/mesh/admission.rs
+++ b/src/mesh/admission.rs
@@ -12,7 +12,10 @@
 
 use {
     self::{average_time::AverageTime, waiting_call::QueuedCall},
-    crate::{balancing::warmup_pace::WarmupPace, ids::RouteName},
+    crate::{
+        balancing::{target_speed::SpeedEstimate, warmup_pace::WarmupPace},
+        ids::RouteName,
+    },
     parking_lot::Mutex,
     std::{
         collections::{BTreeMap, HashMap},
@@ -92,6 +95,7 @@
     waiting: BTreeMap<WaiterKey, Waiter>,
     service_time: AverageTime,
     route_times: HashMap<RouteName, AverageTime>,
+    speed: SpeedEstimate,
     next_sequence: u64,
     closed: bool,
     /// Limit of what is sent while the target is cold; none if the configuration sets none.
@@ -156,6 +160,7 @@
             waiting: BTreeMap::new(),
             service_time: AverageTime::default(),
             route_times: HashMap::new(),
+            speed: SpeedEstimate::default(),
             next_sequence: 0,
             closed: false,
             pace: None,
@@ -210,6 +215,11 @@
         self.state.lock().record_service_time(route, elapsed);
     }
 
+    /// Records the present service time in percent of the usual one, as the target reported it.
+    pub fn record_factor(&self, percent: u32) {
+        self.state.lock().speed.record(percent, Instant::now());
+    }
+
     /// Adds the time after which a call was abandoned (timed out, cancelled or failed). It is a lower bound of the
     /// service time, so it counts only if it is above the average of the route.
     pub fn record_abandoned(&self, route: &str, elapsed: Duration) {
@@ -251,7 +261,7 @@
         let penalty = RANK_PENALTY * request.rank + ACCOUNT_RANK_PENALTY * request.account_rank;
         let sort_time = now + request.time_to_objective + penalty;
         let assumed = request.time_to_objective.mul_f64(ASSUMED_SERVICE_FRACTION);
-        let service_time = state.route_time(request.route, assumed);
+        let service_time = state.present_route_time(request.route, assumed, now);
         let slot_wait = state.expected_wait(sort_time, assumed);
         let pace_wait = state.pace_wait(&(sort_time, u64::MAX), now);
         let left = request.deadline.saturating_duration_since(now);
@@ -294,6 +304,7 @@
             service_time: mean.max(self.mean_age_if_full()),
             route_time: mean,
             cold: self.cold_load(),
+            relative_time: self.speed.relative_time(Instant::now()),
         }
     }
 
@@ -303,6 +314,12 @@
         average.mean_or(assumed)
     }
 
+    /// Returns the service time of the route at the present speed of the target.
+    fn present_route_time(&self, route: &str, assumed: Duration, now: Instant) -> Duration {
+        let relative_time = self.speed.relative_time(now).unwrap_or(1.0);
+        self.route_time(route, assumed).mul_f64(relative_time)
+    }
+
     fn expected_wait(&self, sort_time: Instant, assumed: Duration) -> Duration {
         let before = (sort_time, u64::MAX);
         let ahead = self.waiting.range(..before).count() as u32;
--- a/src/mesh/admission/load.rs
+++ b/src/mesh/admission/load.rs
@@ -1,6 +1,6 @@
 //! Load of a target, as its node reports it to entry nodes.
 
-use std::time::Duration;
+use {crate::balancing::target_speed::RelativeTime, std::time::Duration};
 
 /// Load of a target as measured by the node beside it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -15,6 +15,8 @@
     pub service_time: Duration,
     /// Average service time of the route that the load is reported for.
     pub route_time: Duration,
+    /// Present service time against the average; none if the target does not report it.
+    pub relative_time: Option<RelativeTime>,
     /// Limit of the calls to the target; none if it is warm.
     pub cold: Option<ColdLoad>,
 }
@@ -35,7 +37,12 @@
     pub fn expected_wait(&self) -> Duration {
         let slots = self.slots.max(1);
         let ahead = (self.running + self.waiting + 1).saturating_sub(slots);
-        self.service_time
+        self.present(self.service_time)
             .mul_f64(f64::from(ahead) / f64::from(slots))
     }
+
+    /// Returns what an average service time is at present.
+    fn present(&self, average: Duration) -> Duration {
+        average.mul_f64(self.relative_time.unwrap_or(1.0))
+    }
 }
--- a/src/mesh/hop.rs
+++ b/src/mesh/hop.rs
@@ -16,7 +16,8 @@
         rt::{TokioExecutor, TokioTimer},
     },
     parking_lot::Mutex,
-    serde::{Deserialize, Serialize},
+    serde::Deserialize,
+    serde_json::json,
     std::{
         convert::Infallible,
         pin::Pin,
@@ -34,10 +35,26 @@
 pub const EXECUTION_HEADER: HeaderName = HeaderName::from_static("poplarwing-hop-fate");
 
 /// Response header with the load of the target: running calls, waiting calls, slots, then the average service time of
-/// all calls and of the route in microseconds. For a cold target, these follow: the time for which it is cold, the time
-/// between two calls at its present rate, and the time until it may get one more call, in microseconds.
+/// all calls and of the route in microseconds. Optional tokens with a letter in front follow: `s` for the present service
+/// time in percent of the average; for a cold target `c` for the time for which it is cold, `i` for the time between two
+/// calls at its present rate and `r` for the time until it may get one more call, in microseconds.
 pub const LOAD_HEADER: HeaderName = HeaderName::from_static("poplarwing-hop-load");
 
+/// Letter in front of the present service time in `LOAD_HEADER`.
+const RELATIVE_TIME_TOKEN: char = 's';
+
+/// Letter in front of the time for which a target is cold.
+const COLD_LEFT_TOKEN: char = 'c';
+
+/// Letter in front of the time between two calls to a cold target.
+const COLD_INTERVAL_TOKEN: char = 'i';
+
+/// Letter in front of the time until a cold target may get one more call.
+const COLD_ROOM_TOKEN: char = 'r';
+
+/// Hundredths of the whole.
+const PERCENT: f64 = 100.0;
+
 /// Time limit for connecting to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -51,7 +68,7 @@
 const MAX_IDLE_PER_NODE: usize = 16;
 
 /// Decisions of the entry node about a forwarded call, with its time limits.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct HopMetadata {
     /// Service that the call is for.
@@ -62,12 +79,6 @@
     pub route: RouteName,
     /// Priority of the route; 0 goes first.
     pub rank: u32,
-    /// Client account that makes the call; none if it carries no key. Nodes of earlier versions do not read it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub account: Option<AccountName>,
-    /// Priority of that account, which goes before that of the route; 0 goes first.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub account_rank: Option<u32>,
     /// Service that makes the call, which is that of the target beside the entry node.
     pub caller: ServiceName,
     /// Time left until the call times out.
@@ -76,12 +87,45 @@
     pub due: Duration,
     /// Limit of the expected time until the response is complete; the node refuses a call that would exceed it.
     pub finish_within: Duration,
+    /// Client account that makes the call; none if it carries no key. Nodes of earlier
+    /// versions do not read this field and the next.
+    #[serde(default)]
+    pub account: Option<AccountName>,
+    /// Priority of that account, which goes before that of the route; 0 goes first.
+    #[serde(default)]
+    pub account_rank: Option<u32>,
 }
 
 impl HopMetadata {
     /// Returns the value of `HOP_METADATA_HEADER`; none if a name is not valid in a header.
     pub fn header_value(&self) -> Option<HeaderValue> {
-        let text = serde_json::to_string(self).ok()?;
+        let Self {
+            service,
+            version,
+            route,
+            rank,
+            caller,
+            left,
+            due,
+            finish_within,
+            account,
+            account_rank,
+        } = self;
+        // Arrays take a third of the bytes of objects with field names; `Deserialize` accepts both.
+        let mut fields = vec![
+            json!([service.customer, service.service]),
+            json!(version),
+            json!(route),
+            json!(rank),
+            json!(caller),
+            json!(time_fields(left)),
+            json!(time_fields(due)),
+            json!(time_fields(finish_within)),
+        ];
+        if account.is_some() {
+            fields.extend([json!(account), json!(account_rank)]);
+        }
+        let text = serde_json::to_string(&fields).ok()?;
         HeaderValue::from_str(&text).ok()
     }
 
@@ -92,6 +136,11 @@
     }
 }
 
+/// Returns a time in the array form of its `Deserialize`: seconds and nanoseconds.
+fn time_fields(time: &Duration) -> (u64, u32) {
+    (time.as_secs(), time.subsec_nanos())
+}
+
 /// Sets the load header of a response.
 pub fn set_load(headers: &mut HeaderMap, load: &TargetLoad) {
     let (service_micros, route_micros) =
@@ -100,10 +149,16 @@
         "{},{},{},{service_micros},{route_micros}",
         load.running, load.waiting, load.slots
     );
+    if let Some(relative_time) = load.relative_time {
+        let percent = (relative_time * PERCENT).round() as u64;
+        text.push_str(&format!(",{RELATIVE_TIME_TOKEN}{percent}"));
+    }
     if let Some(cold) = &load.cold {
-        for time in [cold.left, cold.interval, cold.room_in] {
-            text.push_str(&format!(",{}", time.as_micros()));
-        }
+        let (left, interval) = (cold.left.as_micros(), cold.interval.as_micros());
+        let room_in = cold.room_in.as_micros();
+        text.push_str(&format!(
+            ",{COLD_LEFT_TOKEN}{left},{COLD_INTERVAL_TOKEN}{interval},{COLD_ROOM_TOKEN}{room_in}"
+        ));
     }
     if let Ok(value) = HeaderValue::from_str(&text) {
         headers.insert(LOAD_HEADER, value);
@@ -115,25 +170,37 @@
     let value = headers.remove(LOAD_HEADER)?;
     let mut numbers = value.to_str().ok()?.split(',');
     let mut next = || numbers.next()?.parse::<u64>().ok();
-    Some(TargetLoad {
+    let mut load = TargetLoad {
         running: u32::try_from(next()?).ok()?,
         waiting: u32::try_from(next()?).ok()?,
         slots: u32::try_from(next()?).ok()?,
         service_time: Duration::from_micros(next()?),
         route_time: Duration::from_micros(next()?),
-        cold: take_cold(&mut next),
-    })
+        relative_time: None,
+        cold: None,
+    };
+    let tokens: Vec<&str> = numbers.collect();
+    load.relative_time =
+        token_number(&tokens, RELATIVE_TIME_TOKEN).map(|percent| percent as f64 / PERCENT);
+    load.cold = cold_load(&tokens);
+    Some(load)
 }
 
-/// Reads the numbers of a cold target; none if they are missing, as for a warm target or one whose node is older.
-fn take_cold(next: &mut impl FnMut() -> Option<u64>) -> Option<ColdLoad> {
+/// Reads the tokens of a cold target; none if one is missing, as for a warm target or one whose node is older.
+fn cold_load(tokens: &[&str]) -> Option<ColdLoad> {
+    let time = |letter| token_number(tokens, letter).map(Duration::from_micros);
     Some(ColdLoad {
-        left: Duration::from_micros(next()?),
-        interval: Duration::from_micros(next()?),
-        room_in: Duration::from_micros(next()?),
+        left: time(COLD_LEFT_TOKEN)?,
+        interval: time(COLD_INTERVAL_TOKEN)?,
+        room_in: time(COLD_ROOM_TOKEN)?,
     })
 }
 
+fn token_number(tokens: &[&str], letter: char) -> Option<u64> {
+    let mut values = tokens.iter().filter_map(|token| token.strip_prefix(letter));
+    values.next()?.parse().ok()
+}
+
 /// Holds back the body of a request until the node beside the target sends `100 Continue`.
 #[derive(Clone, Debug, Default)]
 pub struct BodyGate {
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -121,4 +121,7 @@
     pub account_key: HeaderName,
     /// Client account that makes the call, as targets receive it.
     pub account: HeaderName,
+    /// Load of the target on its responses: running calls, waiting calls, slots, and present service time in percent of
+    /// the usual one.
+    pub load: HeaderName,
 }
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -11,6 +11,7 @@
         registry::InstanceId,
     },
     crate::{
+        balancing::target_speed::parse_factor,
         call_proxy::headers::strip_hop_by_hop_headers,
         retry_budget::AttemptOutcome,
         target_client::{ExchangeError, TrackedAnswer},
@@ -385,6 +386,21 @@
     Invalid(&'static str),
 }
 
+/// Records the speed that the target reports with a response.
+fn record_speed(context: &MeshContext, headers: &HeaderMap) {
+    let Some(load) = headers.get(&context.settings.headers.load) else {
+        return;
+    };
+    match parse_factor(&String::from_utf8_lossy(load.as_bytes())) {
+        Ok(Some(percent)) => context.queue.record_factor(percent),
+        Ok(None) => {}
+        Err(error) if context.call_log_limiter.try_acquire(Instant::now()) => {
+            warn!(%error, "load of the target ignored");
+        }
+        Err(_) => {}
+    }
+}
+
 /// Reads the whole response and checks that the target made it for this request.
 ///
 /// A connection that carried an invalid response is not reused, because it may hold further bytes that belong to no
@@ -402,6 +418,9 @@
     } = answer;
     let (mut head, body) = response.into_parts();
     let echoed = head.headers.get(&names.call_id);
+    if echoed == call_id {
+        record_speed(context, &head.headers);
+    }
     if echoed == call_id && head.headers.contains_key(&names.not_run) {
         return Err(ResponseError::NotRun);
     }
--- a/src/mesh/target_selection.rs
+++ b/src/mesh/target_selection.rs
@@ -7,6 +7,7 @@
 use {
     super::admission::TargetLoad,
     crate::{
+        balancing::target_speed::{RelativeTime, faded},
         ids::{DomainName, NodeId, RouteName},
         membership::TargetEndpoint,
     },
@@ -346,8 +347,10 @@
         // A target without a service time for the route counts as fast, so that new targets receive calls and their
         // service time becomes known.
         let route_time = reported.map_or(0.0, Duration::as_secs_f64);
-        let slot_wait = mean_time * wait;
-        let latency = route_time * (1.0 + busy_share) + slot_wait.max(stats.cold_wait(now));
+        let relative_time = stats.relative_time(now);
+        let slot_wait = relative_time * mean_time * wait;
+        let run_time = relative_time * route_time * (1.0 + busy_share);
+        let latency = run_time + slot_wait.max(stats.cold_wait(now));
         let lateness = latency / objective;
         let unknown_busy_cost = match reported {
             Some(_) => 0.0,
@@ -371,6 +374,14 @@
         (reported * decay + f64::from(sent)).max(f64::from(self.in_flight))
     }
 
+    /// Returns the present service time against the average, from a report whose worth decays with its age.
+    fn relative_time(&self, now: Instant) -> RelativeTime {
+        let (Some(reported), Some(at)) = (self.report.relative_time, self.reported_at) else {
+            return 1.0;
+        };
+        faded(reported, now.saturating_duration_since(at))
+    }
+
     /// Returns the expected time in seconds until a cold target may get one more call; zero if it is warm.
     fn cold_wait(&self, now: Instant) -> f64 {
         let (Some(cold), Some(reported_at)) = (self.report.cold, self.reported_at) else {
--- a/tests/balancing_warmup.rs
+++ b/tests/balancing_warmup.rs
@@ -321,6 +321,7 @@
             service_time: SERVICE_TIME,
             route_time: SERVICE_TIME,
             cold,
+            relative_time: None,
         }
     }
 
--- a/tests/mesh_admission.rs
+++ b/tests/mesh_admission.rs
@@ -291,3 +291,46 @@
 
     assert_eq!(first, "earlier");
 }
+
+/// At a peak of demand, a free slot must not stay empty because its target is slow at present.
+#[tokio::test]
+async fn a_slow_target_with_a_free_slot_starts_a_call() {
+    let queue = queue_with_slots(2);
+    (0..100).for_each(|_| queue.record_factor(100));
+    queue.record_factor(250);
+
+    let prompt = request(Duration::from_millis(400), 1, SERVICE_TIME.mul_f64(1.3));
+    let admitted = queue.acquire(prompt).await;
+
+    assert!(admitted.is_ok());
+}
+
+/// In a spell of slowness, a call that must start almost at once must not wait for a slot of the slow target.
+#[tokio::test]
+async fn a_slow_target_without_a_free_slot_refuses_a_call_that_must_start_promptly() {
+    let queue = queue_with_slots(6);
+    let mut running = Vec::new();
+    for _ in 0..6 {
+        running.push(queue.acquire(lenient_request()).await.expect("slot"));
+    }
+    (0..100).for_each(|_| queue.record_factor(100));
+    queue.record_factor(250);
+
+    let prompt = request(Duration::from_millis(400), 1, SERVICE_TIME.mul_f64(1.3));
+    let refused = queue.acquire(prompt).await;
+
+    assert_eq!(refused.err(), Some(AdmissionRefusal::Full));
+}
+
+/// The expected wait, which refused callers are told, must follow the present speed of the target.
+#[tokio::test]
+async fn the_expected_wait_is_longer_in_a_slow_spell() {
+    let queue = queue_with_slots(1);
+    let _running = queue.acquire(lenient_request()).await.expect("slot");
+    (0..100).for_each(|_| queue.record_factor(100));
+    let usual = queue.load().expected_wait();
+
+    queue.record_factor(250);
+
+    assert!(queue.load().expected_wait() > usual.mul_f64(1.8));
+}
--- a/tests/mesh_choice.rs
+++ b/tests/mesh_choice.rs
@@ -51,6 +51,7 @@
         service_time: Duration::from_millis(160),
         route_time: Duration::from_millis(160),
         cold: None,
+        relative_time: None,
     }
 }
 
@@ -92,6 +93,25 @@
     assert_eq!(chosen_node(&tracker, &[], now).as_deref(), Some("near"));
 }
 
+/// In a spell of slowness, a call must not go to the target that is slow at present while an equal one is not, and must
+/// be sent there again once the spell has passed.
+#[test]
+fn a_target_in_a_slow_spell_is_avoided_until_the_report_is_old() {
+    let now = Instant::now();
+    let mut tracker = TargetTracker::default();
+    let slow = TargetLoad {
+        relative_time: Some(2.5),
+        ..load(1, 0)
+    };
+    tracker.record_load("near", "jobs", slow, now);
+    tracker.record_load("far", "jobs", load(1, 0), now);
+
+    let at = |later: Duration| chosen_node(&tracker, &[], now + later);
+
+    assert_eq!(at(Duration::ZERO).as_deref(), Some("far"));
+    assert_eq!(at(Duration::from_secs(3)).as_deref(), Some("near"));
+}
+
 /// Calls must not be late at a full target while another failure domain has free slots.
 #[test]
 fn calls_go_to_another_failure_domain_when_the_local_target_is_full() {
--- a/tests/support/hedge_simulation.rs
+++ b/tests/support/hedge_simulation.rs
@@ -331,6 +331,7 @@
             service_time: state.service_time,
             route_time: state.service_time,
             cold: None,
+            relative_time: None,
         };
         let node = &self.endpoints[target].node;
         self.tracker.record_load(node, ROUTE, load, self.now);
--- a/tests/support/mesh_node.rs
+++ b/tests/support/mesh_node.rs
@@ -101,6 +101,7 @@
             caller: header("x-caller"),
             account_key: header("x-account-key"),
             account: header("x-account"),
+            load: header("x-load"),
         },
     }
 }
