Count how connections of clients end

What was seen: the shed lines and the metric of closed connections tell the reason for a closing, not whether an answer was owed then. Change: each end of a client connection is counted by how it ended (served, unread, client-left, broken, shed, dropped) and by phase, as poplarwing_connection_ends_total; ends before a whole answer are logged. The phase answered is new and means that the socket has taken the whole answer; it is only reported, no decision changes. A node that exits logs on how many connections an answer is owed.

--- a/src/client_limits.rs
+++ b/src/client_limits.rs
@@ -60,7 +60,7 @@
 pub const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 
 /// What a connection is doing.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
 pub enum ConnectionPhase {
     /// No request has begun.
     #[display("idle")]
@@ -77,6 +77,39 @@
     /// An answer is being sent.
     #[display("answering")]
     Answering,
+    /// The socket has taken a whole answer, and the server has not asked for the next request.
+    #[display("answered")]
+    Answered,
+}
+
+impl ConnectionPhase {
+    /// Returns whether the client has sent the head of a request and has not taken its whole answer.
+    pub fn owes_answer(self) -> bool {
+        matches!(self, Self::Body | Self::Running | Self::Answering)
+    }
+}
+
+/// How a connection ended; label of the metric.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+pub enum ConnectionEnd {
+    /// After its last answer, which was sent as a whole.
+    #[display("served")]
+    Served,
+    /// The node closed it between two answers, and dropped bytes that the client had sent by then.
+    #[display("unread")]
+    Unread,
+    /// The client closed its side.
+    #[display("client-left")]
+    ClientLeft,
+    /// An error of the connection, such as a reset while an answer was sent.
+    #[display("broken")]
+    Broken,
+    /// The node closed it, see `ShedReason`.
+    #[display("shed")]
+    Shed,
+    /// Its task was dropped, because the process exits or because of a panic.
+    #[display("dropped")]
+    Dropped,
 }
 
 /// State of one connection as far as it decides which one is closed.
@@ -193,7 +226,7 @@
     let slowest = views
         .filter(|view| match view.phase {
             ConnectionPhase::Head | ConnectionPhase::Body => view.received >= least_received,
-            ConnectionPhase::Answering => true,
+            ConnectionPhase::Answering | ConnectionPhase::Answered => true,
             ConnectionPhase::Idle | ConnectionPhase::Running => false,
         })
         .filter(|view| now.saturating_duration_since(view.progressed) >= MIN_STALL)
@@ -210,7 +243,9 @@
     let (since, limit, reason) = match view.phase {
         ConnectionPhase::Idle => (view.begun, bounds.idle_time, ShedReason::Idle),
         ConnectionPhase::Head => (view.begun, bounds.head_time, ShedReason::SlowHead),
-        ConnectionPhase::Answering => (view.progressed, bounds.idle_time, ShedReason::SlowAnswer),
+        ConnectionPhase::Answering | ConnectionPhase::Answered => {
+            (view.progressed, bounds.idle_time, ShedReason::SlowAnswer)
+        }
         // A body has the deadline of its call, and so has a request in progress.
         ConnectionPhase::Body | ConnectionPhase::Running => return None,
     };
--- a/src/mesh/client_connections.rs
+++ b/src/mesh/client_connections.rs
@@ -5,9 +5,9 @@
 use {
     crate::{
         client_limits::{
-            CONNECTION_BYTES, ClientLimits, ConnectionBounds, ConnectionId, ConnectionPhase,
-            ConnectionView, PIPELINE_BYTES, PROGRESS_BYTES, REQUEST_BYTES, SMALL_REQUEST_BYTES,
-            ShedReason, first_to_shed, overdue, slowest_request,
+            CONNECTION_BYTES, ClientLimits, ConnectionBounds, ConnectionEnd, ConnectionId,
+            ConnectionPhase, ConnectionView, PIPELINE_BYTES, PROGRESS_BYTES, REQUEST_BYTES,
+            SMALL_REQUEST_BYTES, ShedReason, first_to_shed, overdue, slowest_request,
         },
         config::IntakeLimits,
     },
@@ -45,8 +45,12 @@
     last_id: ConnectionId,
     bounds: ConnectionBounds,
     sheds: HashMap<ShedReason, u64>,
+    ends: HashMap<EndOfConnection, u64>,
 }
 
+/// How a connection ended and what it was doing then.
+pub type EndOfConnection = (ConnectionEnd, ConnectionPhase);
+
 #[derive(Debug)]
 struct OpenConnection {
     id: ConnectionId,
@@ -66,8 +70,12 @@
     charges: ConnectionCharges,
     /// Whether the client does not take more bytes of an answer at present.
     write_pending: bool,
+    /// Whether the socket has taken all bytes of the last answer.
+    answer_sent: bool,
     /// Whether the connection is being closed; it is charged nothing more.
     closing: bool,
+    /// How the connection ended, and its phase then; none while its task runs.
+    ended: Option<EndOfConnection>,
 }
 
 #[derive(Debug, Default)]
@@ -219,7 +227,9 @@
                     ..ConnectionCharges::default()
                 },
                 write_pending: false,
+                answer_sent: false,
                 closing: false,
+                ended: None,
             }),
         });
         table.open.insert(connection.id, connection.clone());
@@ -282,6 +292,21 @@
         self.shared.charged.load(Ordering::Relaxed)
     }
 
+    /// Returns how many connections ended since the last call, by how they did and what they were doing.
+    pub fn take_ends(&self) -> HashMap<EndOfConnection, u64> {
+        mem::take(&mut self.shared.table.lock().ends)
+    }
+
+    /// Returns the number of open connections of which clients are owed an answer.
+    pub fn unanswered_count(&self) -> usize {
+        let table = self.shared.table.lock();
+        let phases = table
+            .open
+            .values()
+            .map(|connection| connection.state.lock().phase);
+        phases.filter(|phase| phase.owes_answer()).count()
+    }
+
     /// Returns how many connections were closed since the last call, by reason.
     pub fn take_sheds(&self) -> HashMap<ShedReason, u64> {
         mem::take(&mut self.shared.table.lock().sheds)
@@ -303,8 +328,19 @@
 
 impl Drop for ConnectionHandle {
     fn drop(&mut self) {
-        self.shared.table.lock().open.remove(&self.connection.id);
-        let charges = mem::take(&mut self.connection.state.lock().charges);
+        let (charges, end) = {
+            let mut state = self.connection.state.lock();
+            let dropped = (ConnectionEnd::Dropped, state.phase);
+            (
+                mem::take(&mut state.charges),
+                state.ended.unwrap_or(dropped),
+            )
+        };
+        {
+            let mut table = self.shared.table.lock();
+            table.open.remove(&self.connection.id);
+            *table.ends.entry(end).or_default() += 1;
+        }
         self.shared.discharge(charges.total());
     }
 }
@@ -325,6 +361,16 @@
         self.handle.connection.shed.cancelled().await;
     }
 
+    /// Records how the connection ended, once its task stops serving it.
+    pub fn end(&self, end: ConnectionEnd) {
+        let mut state = self.handle.connection.state.lock();
+        let phase = match state.phase {
+            ConnectionPhase::Answering if state.answer_sent => ConnectionPhase::Answered,
+            phase => phase,
+        };
+        state.ended.get_or_insert((end, phase));
+    }
+
     /// Returns whether a request is being handled, so that its caller gets an answer before the connection closes.
     pub fn has_request(&self) -> bool {
         let state = self.handle.connection.state.lock();
@@ -465,12 +511,18 @@
         let request = {
             let mut state = self.handle.connection.state.lock();
             state.enter(ConnectionPhase::Answering, Instant::now());
+            state.answer_sent = false;
             state.received = 0;
             mem::take(&mut state.charges.request)
         };
         self.handle.shared.discharge(request);
     }
 
+    /// Records that the socket has taken all bytes that the server has written.
+    pub fn record_flush(&self) {
+        self.handle.connection.state.lock().answer_sent = true;
+    }
+
     /// Records whether the client took `length` bytes of an answer, or none since its side is full.
     pub fn record_write(&self, length: Option<usize>) {
         let mut state = self.handle.connection.state.lock();
--- a/src/mesh/client_io.rs
+++ b/src/mesh/client_io.rs
@@ -36,6 +36,8 @@
     buffer: BytesMut,
     ended: bool,
     discarding: bool,
+    /// Whether bytes of the client were dropped.
+    has_discarded: bool,
     /// Task of the HTTP server, waiting for bytes.
     server: Option<Waker>,
     /// Task of `fill_from`, waiting for room in the buffer.
@@ -78,10 +80,16 @@
     pub fn discard(&self) {
         let mut state = self.state.lock();
         state.discarding = true;
+        state.has_discarded |= !state.buffer.is_empty();
         state.buffer.clear();
         state.filler.take().into_iter().for_each(Waker::wake);
     }
 
+    /// Returns whether bytes of the client were dropped after `discard`.
+    pub fn has_discarded(&self) -> bool {
+        self.state.lock().has_discarded
+    }
+
     fn poll_room(&self, context: &mut Context<'_>) -> Poll<()> {
         let mut state = self.state.lock();
         if self.has_room(state.buffer.len()) {
@@ -102,6 +110,7 @@
 
     fn add(&self, chunk: &[u8]) {
         let mut state = self.state.lock();
+        state.has_discarded |= state.discarding;
         if !state.discarding {
             if let Some(limited) = &self.limited {
                 limited.receive(chunk);
@@ -198,7 +207,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<(), Error>> {
-        Pin::new(&mut self.writer).poll_flush(context)
+        let flushed = Pin::new(&mut self.writer).poll_flush(context);
+        // The HTTP server flushes only after it has written all bytes that it has.
+        if let (Some(limited), Poll::Ready(Ok(()))) = (&self.ahead.limited, &flushed) {
+            limited.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -7,6 +7,7 @@
         held_bytes::{BodyShare, HeldBytes},
         refusal::WholeBody,
     },
+    crate::client_limits::ConnectionEnd,
     bytes::Bytes,
     http::{HeaderValue, Request, Response, header::CONNECTION},
     http_body::Body,
@@ -236,14 +237,17 @@
     let close = stop.close.clone();
     stop.connections.spawn(async move {
         let mut filling = pin!(ahead.fill_from(reader));
-        let served = tokio::select! {
-            served = serve_until_closed(connection, close) => served,
+        let end = tokio::select! {
+            served = serve_until_closed(connection, close) => match served {
+                Some(io) => linger(io, &ahead, filling).await,
+                None => ConnectionEnd::Broken,
+            },
             // The client has disconnected: its requests are dropped, also those that have not been read yet.
-            () = &mut filling => return,
-            () = close_for_others(limited.as_ref()) => return,
+            () = &mut filling => ConnectionEnd::ClientLeft,
+            () = close_for_others(limited.as_ref()) => ConnectionEnd::Shed,
         };
-        if let Some(io) = served {
-            linger(io, &ahead, filling).await;
+        if let Some(limited) = &limited {
+            limited.end(end);
         }
     });
 }
@@ -302,13 +306,17 @@
     answered.then(|| connection.into_parts().io.into_inner())
 }
 
-/// Closes a connection so that the last response arrives (lingering close).
+/// Closes a connection so that the last response arrives (lingering close); returns how it ended.
 ///
 /// Closing a socket with unread bytes, such as further requests, resets the connection, and the client could lose the
 /// response that is on its way.
-async fn linger(mut io: ClientIo, ahead: &ReadAhead, filling: Pin<&mut impl Future<Output = ()>>) {
+async fn linger(
+    mut io: ClientIo,
+    ahead: &ReadAhead,
+    filling: Pin<&mut impl Future<Output = ()>>,
+) -> ConnectionEnd {
     if io.shutdown().await.is_err() {
-        return;
+        return ConnectionEnd::Broken;
     }
     ahead.discard();
     if timeout(LINGER_TIME, filling).await.is_err() {
@@ -317,4 +325,8 @@
             "the client did not close its side in time"
         );
     }
+    match ahead.has_discarded() {
+        true => ConnectionEnd::Unread,
+        false => ConnectionEnd::Served,
+    }
 }
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -21,7 +21,7 @@
     },
     crate::{
         blackboard::Blackboard,
-        client_limits::{RECEIVE_BUFFER_BYTES, ShedReason},
+        client_limits::{ConnectionEnd, RECEIVE_BUFFER_BYTES, ShedReason},
         config::IntakeLimits,
         config_sync::serve_sync,
         gossip::GossipNode,
@@ -488,6 +488,16 @@
         buffer_bytes: clients.charged_bytes() as u64,
         body_bytes: context.held_bytes.held() as u64,
     });
+    for ((end, phase), count) in clients.take_ends() {
+        context.metrics.count_connection_ends(end, phase, count);
+        let is_notable = phase.owes_answer() && end != ConnectionEnd::Served;
+        if is_notable || end == ConnectionEnd::Unread {
+            info!(
+                decision = "connection", %end, %phase, count,
+                "connections of clients ended before a whole answer"
+            );
+        }
+    }
     for (reason, count) in clients.take_sheds() {
         context.metrics.count_sheds(reason, count);
         // Idle connections end in ordinary operation too.
@@ -542,9 +552,10 @@
         let left = context.shutdown.time_left().unwrap_or_default();
         if timeout(left, server_stop.connections.wait()).await.is_err() {
             let open = server_stop.connections.len();
+            let unanswered = context.clients.unanswered_count();
             info!(
                 open,
-                "connections still open at the end of the grace period; closing them"
+                unanswered, "connections still open at the end of the grace period; closing them"
             );
         }
     };
--- a/src/node_metrics.rs
+++ b/src/node_metrics.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         call_events::ReasonCode,
-        client_limits::ShedReason,
+        client_limits::{ConnectionEnd, ConnectionPhase, ShedReason},
         config::ServiceKey,
         ids::{ConfigVersion, VersionName},
     },
@@ -149,6 +149,7 @@
     client_buffers: Gauge<u64>,
     bodies: Gauge<u64>,
     sheds: Counter<u64>,
+    connection_ends: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -211,6 +212,11 @@
                 "poplarwing_connections_shed",
                 "Connections of clients closed by the node, by reason.",
             ),
+            connection_ends: counter(
+                &meter,
+                "poplarwing_connection_ends",
+                "Connections of clients that ended, by how they did and what they were doing.",
+            ),
         })
     }
 
@@ -283,6 +289,15 @@
         self.sheds.add(count, &[label]);
     }
 
+    /// Counts connections of clients that ended.
+    pub fn count_connection_ends(&self, end: ConnectionEnd, phase: ConnectionPhase, count: u64) {
+        let labels = [
+            KeyValue::new("end", end.to_string()),
+            KeyValue::new("phase", phase.to_string()),
+        ];
+        self.connection_ends.add(count, &labels);
+    }
+
     /// Counts tokens of usage caps that this node granted to entry nodes.
     pub fn count_cap_tokens(&self, tokens: u64) {
         self.cap_tokens.add(tokens, &[]);
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -3,8 +3,9 @@
 use {
     poplarwing::{
         client_limits::{
-            CONNECTION_BYTES, ClientLimits, ConnectionBounds, ConnectionPhase, ConnectionView,
-            MIN_STALL, REQUEST_BYTES, ShedReason, first_to_shed, overdue, slowest_request,
+            CONNECTION_BYTES, ClientLimits, ConnectionBounds, ConnectionEnd, ConnectionPhase,
+            ConnectionView, MIN_STALL, REQUEST_BYTES, ShedReason, first_to_shed, overdue,
+            slowest_request,
         },
         config::IntakeLimits,
         mesh::client_connections::{ClientConnection, ClientConnections},
@@ -207,6 +208,46 @@
     assert_eq!(clients.charged_bytes(), CONNECTION_BYTES + REQUEST_BYTES);
 }
 
+/// Guards against ends of connections that do not tell whether an answer was owed.
+#[tokio::test]
+async fn ends_tell_whether_the_answer_was_sent() {
+    let clients = table(4, 1 << 30);
+    let answer = |connection: &ClientConnection| {
+        connection.receive(b"GET / HTTP/1.1\r\n\r\n");
+        connection.begin_body();
+        assert!(connection.begin_run());
+        connection.begin_answer();
+    };
+    let partly = clients.open().expect("room");
+    answer(&partly);
+    partly.record_write(Some(100));
+    let whole = clients.open().expect("room");
+    answer(&whole);
+    whole.record_flush();
+    let running = clients.open().expect("room");
+    running.receive(b"GET / HTTP/1.1\r\n\r\n");
+    running.begin_body();
+
+    partly.end(ConnectionEnd::Shed);
+    whole.end(ConnectionEnd::Shed);
+    drop([partly, whole, running]);
+
+    let ends = clients.take_ends();
+    let count = |end, phase| ends.get(&(end, phase)).copied();
+    assert_eq!(
+        count(ConnectionEnd::Shed, ConnectionPhase::Answering),
+        Some(1)
+    );
+    assert_eq!(
+        count(ConnectionEnd::Shed, ConnectionPhase::Answered),
+        Some(1)
+    );
+    assert_eq!(
+        count(ConnectionEnd::Dropped, ConnectionPhase::Body),
+        Some(1)
+    );
+}
+
 fn random_step(clients: &ClientConnections, open: &mut Vec<ClientConnection>, rng: &mut StdRng) {
     if open.is_empty() || rng.random_ratio(1, 5) {
         open.extend(clients.open());
