End the phase of an answer when the socket has taken it

Callers that were slow to take an answer lost their kept connection: it was closed for new connections before others that had been idle for longer, or after the idle time counted from the last byte of the answer, also when no answer was owed any more.

Cause: the table of connections left the phase "answering" only when the HTTP server asked for bytes while no write was pending. Once a write was pending, the server asks before the flush ends and not again after it, so the connection stayed in that phase until its next request.

An answer now ends with the flush that hands its last bytes to the socket; the connection is idle from then on if the server has already asked for the next request. A request that was read behind another one begins its phases when the answer before it has been handed over, which is when the HTTP server starts it.

--- a/src/client_limits.rs
+++ b/src/client_limits.rs
@@ -74,7 +74,7 @@
     /// A request has been received and is being handled.
     #[display("running")]
     Running,
-    /// An answer is being sent.
+    /// An answer is being sent: the socket has not taken all of its bytes.
     #[display("answering")]
     Answering,
     /// The socket has taken a whole answer, and the server has not asked for the next request.
--- a/src/mesh/client_connections.rs
+++ b/src/mesh/client_connections.rs
@@ -68,10 +68,10 @@
     since_progress: usize,
     /// Parts of `SharedTable::charged`.
     charges: ConnectionCharges,
-    /// Whether the client does not take more bytes of an answer at present.
-    write_pending: bool,
-    /// Whether the socket has taken all bytes of the last answer.
-    answer_sent: bool,
+    /// Whether the server has bytes for the client that the socket has not taken, or will have some of an answer.
+    has_unsent: bool,
+    /// Whether the server has asked for the next request and found no bytes.
+    awaits_request: bool,
     /// Whether the connection is being closed; it is charged nothing more.
     closing: bool,
     /// How the connection ended, and its phase then; none while its task runs.
@@ -99,6 +99,18 @@
         self.since_progress = 0;
     }
 
+    /// Ends the phase of an answer that the socket has taken; the connection is idle if the server awaits a request.
+    fn settle_answer(&mut self, now: Instant) {
+        match self.phase {
+            ConnectionPhase::Answering | ConnectionPhase::Answered if self.has_unsent => {}
+            ConnectionPhase::Answering | ConnectionPhase::Answered if self.awaits_request => {
+                self.enter(ConnectionPhase::Idle, now);
+            }
+            ConnectionPhase::Answering => self.enter(ConnectionPhase::Answered, now),
+            _ => {}
+        }
+    }
+
     fn progress(&mut self, length: usize, now: Instant) {
         self.since_progress += length;
         if self.since_progress >= PROGRESS_BYTES {
@@ -226,8 +238,8 @@
                     connection: CONNECTION_BYTES,
                     ..ConnectionCharges::default()
                 },
-                write_pending: false,
-                answer_sent: false,
+                has_unsent: false,
+                awaits_request: false,
                 closing: false,
                 ended: None,
             }),
@@ -364,11 +376,8 @@
     /// Records how the connection ended, once its task stops serving it.
     pub fn end(&self, end: ConnectionEnd) {
         let mut state = self.handle.connection.state.lock();
-        let phase = match state.phase {
-            ConnectionPhase::Answering if state.answer_sent => ConnectionPhase::Answered,
-            phase => phase,
-        };
-        state.ended.get_or_insert((end, phase));
+        let ended = (end, state.phase);
+        state.ended.get_or_insert(ended);
     }
 
     /// Returns whether a request is being handled, so that its caller gets an answer before the connection closes.
@@ -402,8 +411,13 @@
 
     /// Records that the server takes bytes that were read ahead; they may begin the next request.
     pub fn take_ahead(&self, length: usize) {
-        let phase = self.handle.connection.state.lock().phase;
-        if phase == ConnectionPhase::Answering {
+        let phase = {
+            let mut state = self.handle.connection.state.lock();
+            state.awaits_request = false;
+            state.phase
+        };
+        // Before that, the socket has not taken the whole answer to the request before.
+        if phase == ConnectionPhase::Answered {
             self.begin_request(length, Instant::now());
         }
     }
@@ -447,9 +461,8 @@
     /// Records that the server waits for bytes and has none.
     pub fn await_request(&self) {
         let mut state = self.handle.connection.state.lock();
-        if state.phase == ConnectionPhase::Answering && !state.write_pending {
-            state.enter(ConnectionPhase::Idle, Instant::now());
-        }
+        state.awaits_request = true;
+        state.settle_answer(Instant::now());
     }
 
     /// Charges the buffer for requests behind the one in progress; returns false if there is no room for it.
@@ -511,22 +524,27 @@
         let request = {
             let mut state = self.handle.connection.state.lock();
             state.enter(ConnectionPhase::Answering, Instant::now());
-            state.answer_sent = false;
+            state.has_unsent = true;
+            state.awaits_request = false;
             state.received = 0;
             mem::take(&mut state.charges.request)
         };
         self.handle.shared.discharge(request);
     }
 
-    /// Records that the socket has taken all bytes that the server has written.
+    /// Records that the socket has taken all bytes that the server had for the client.
+    ///
+    /// The server does not ask for bytes again after this, so that an answer ends here if it has asked before.
     pub fn record_flush(&self) {
-        self.handle.connection.state.lock().answer_sent = true;
+        let mut state = self.handle.connection.state.lock();
+        state.has_unsent = false;
+        state.settle_answer(Instant::now());
     }
 
-    /// Records whether the client took `length` bytes of an answer, or none since its side is full.
+    /// Records that the client took `length` bytes of an answer, or none since its side is full.
     pub fn record_write(&self, length: Option<usize>) {
         let mut state = self.handle.connection.state.lock();
-        state.write_pending = length.is_none();
+        state.has_unsent = true;
         state.progress(length.unwrap_or_default(), Instant::now());
     }
 }
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -209,12 +209,13 @@
     let client = limited.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
         let client = client.clone();
-        if let Some(client) = &client {
-            begin_request(client, &mut request);
-        }
-        let answer = handler(request);
+        let handler = handler.clone();
+        // The server polls this only after the socket has taken the whole answer to the request before.
         Box::pin(async move {
-            let mut answer = answer.await;
+            if let Some(client) = &client {
+                begin_request(client, &mut request);
+            }
+            let mut answer = handler(request).await;
             if let Some(client) = &client {
                 end_request(client, &mut answer);
             }
--- /dev/null
+++ b/tests/client_connections.rs
@@ -0,0 +1,138 @@
+//! Answers to clients, and the phases of their connections, on a server with limits.
+
+use {
+    bytes::Bytes,
+    http::{Request, Response},
+    http_body_util::Full,
+    hyper::body::Incoming,
+    poplarwing::{
+        client_limits::ClientLimits,
+        mesh::{
+            client_connections::{ClientConnection, ClientConnections},
+            http::{ServerStop, serve_clients},
+            refusal::WholeBody,
+        },
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpSocket, TcpStream},
+            time::{sleep, timeout},
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Length of an answer that does not fit into the buffers of the kernel, in bytes.
+const LONG_ANSWER: usize = 16 << 20;
+
+/// Receive buffer of a client, in bytes.
+const CLIENT_BUFFER: u32 = 4096;
+
+/// Time limit of every wait; reached only if something is broken.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
+struct TestServer {
+    address: SocketAddr,
+    clients: ClientConnections,
+    close: CancellationToken,
+}
+
+impl Drop for TestServer {
+    fn drop(&mut self) {
+        self.close.cancel();
+    }
+}
+
+impl TestServer {
+    /// Starts a server whose answers have the length that the path names.
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let clients = ClientConnections::new(ClientLimits {
+            connections: 24,
+            buffer_bytes: 1 << 30,
+        });
+        let close = CancellationToken::new();
+        let stop = ServerStop {
+            close: close.clone(),
+            connections: TaskTracker::new(),
+        };
+        tokio::spawn(serve_clients(listener, stop, clients.clone(), answer));
+        Self {
+            address,
+            clients,
+            close,
+        }
+    }
+
+    /// Connects a client whose kernel takes few bytes in advance.
+    async fn connect(&self) -> TcpStream {
+        let socket = TcpSocket::new_v4().expect("socket");
+        socket.set_recv_buffer_size(CLIENT_BUFFER).expect("buffer");
+        socket.connect(self.address).await.expect("connect")
+    }
+
+    /// Waits until no client is owed an answer.
+    async fn wait_until_answered(&self) {
+        let started = Instant::now();
+        while self.clients.unanswered_count() > 0 {
+            assert!(started.elapsed() < WAIT_LIMIT, "an answer is still owed");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn answer(request: Request<Incoming>) -> Response<WholeBody> {
+    let client = request.extensions().get::<ClientConnection>();
+    assert!(client.expect("a limited connection").begin_run());
+    let length = request.uri().path()[1..].parse().expect("length");
+    Response::new(Full::new(Bytes::from(vec![b'a'; length])))
+}
+
+async fn ask(stream: &mut TcpStream, length: usize) {
+    let text = format!("GET /{length} HTTP/1.1\r\nHost: node\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.expect("send");
+}
+
+/// Reads the rest of an answer whose body has this length; returns the bytes of the body that arrived.
+async fn read_answer(stream: &mut TcpStream, mut received: Vec<u8>, length: usize) -> usize {
+    let body_length = |received: &[u8]| {
+        let head = received.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        head.map_or(0, |at| received.len() - at - 4)
+    };
+    let mut taken = body_length(&received);
+    let mut chunk = vec![0; 64 * 1024];
+    while taken < length {
+        let read = timeout(WAIT_LIMIT, stream.read(&mut chunk)).await;
+        let Ok(count @ 1..) = read.expect("bytes in time") else {
+            return taken;
+        };
+        match taken {
+            0 => {
+                received.extend_from_slice(&chunk[..count]);
+                taken = body_length(&received);
+            }
+            _ => taken += count,
+        }
+    }
+    taken
+}
+
+/// Guards against a connection that counts as one with a stalled answer after its client has taken all of it, so that
+/// it is closed before others that have been idle for longer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_is_idle_once_a_slow_answer_has_been_taken() {
+    let server = TestServer::start().await;
+    let mut stream = server.connect().await;
+    ask(&mut stream, LONG_ANSWER).await;
+    // The server has filled the buffers of the kernel by then.
+    sleep(Duration::from_millis(200)).await;
+
+    let taken = read_answer(&mut stream, Vec::new(), LONG_ANSWER).await;
+
+    assert_eq!(taken, LONG_ANSWER);
+    server.wait_until_answered().await;
+}
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -175,6 +175,56 @@
     assert!(!is_shed(&connection).await);
 }
 
+/// Returns a connection whose request runs.
+fn open_running(clients: &ClientConnections) -> ClientConnection {
+    let connection = clients.open().expect("room");
+    connection.receive(b"GET / HTTP/1.1\r\n\r\n");
+    connection.begin_body();
+    assert!(connection.begin_run());
+    connection
+}
+
+/// Returns a connection on which an answer is being sent, and whose client has taken a part of it.
+fn open_answering(clients: &ClientConnections) -> ClientConnection {
+    let connection = open_running(clients);
+    connection.begin_answer();
+    connection.record_write(Some(1000));
+    connection.record_write(None);
+    // The HTTP server asks for the next request while it sends, and not once more when it has sent everything.
+    connection.await_request();
+    connection
+}
+
+/// Guards against a connection that never becomes idle again after its client was slow to take an answer.
+#[tokio::test]
+async fn a_connection_is_idle_once_the_socket_has_taken_a_whole_answer() {
+    let clients = table(8, 1 << 30);
+    let connection = open_answering(&clients);
+    let _running: Vec<_> = (1..8).map(|_| open_running(&clients)).collect();
+    connection.record_write(Some(1000));
+    connection.record_flush();
+
+    let next = clients.open();
+
+    assert!(next.is_some());
+    assert!(is_shed(&connection).await);
+}
+
+/// Guards against a client that never takes its answer and keeps its connection for good.
+#[tokio::test]
+async fn an_answer_that_is_not_taken_is_closed_after_its_time_only() {
+    let clients = table(1, 1 << 30);
+    let connection = open_answering(&clients);
+    let time = ConnectionBounds::default().idle_time;
+
+    clients.close_overdue(Instant::now() + time / 2);
+
+    assert!(!is_shed(&connection).await);
+    clients.close_overdue(Instant::now() + time);
+    assert!(is_shed(&connection).await);
+    assert_eq!(clients.take_sheds().get(&ShedReason::SlowAnswer), Some(&1));
+}
+
 /// Guards against a request that runs although its connection is being closed, so that its answer would be lost.
 #[tokio::test]
 async fn a_request_does_not_run_once_its_connection_is_being_closed() {
@@ -255,7 +305,7 @@
     }
     let index = rng.random_range(0..open.len());
     let connection = &open[index];
-    match rng.random_range(0..9) {
+    match rng.random_range(0..11) {
         0 | 1 => connection.receive(&vec![b'x'; rng.random_range(1..40_000)]),
         2 => connection.begin_body(),
         3 => {
@@ -267,6 +317,8 @@
             connection.charge_pipeline();
         }
         7 => connection.release_pipeline(),
+        8 => connection.record_write(None),
+        9 => connection.record_flush(),
         _ => drop(open.swap_remove(index)),
     }
 }
