Never close an unfinished answer for other clients

Callers on kept connections got a part of their answer and then a closed connection when a node was full, although they kept reading.

Cause: with no idle connection left, a full node closed the connection that had made no progress for longest, answers included. An answer counted as stalled if its client took less than 4 KiB in 250 ms. The upstream had run the request, and the node's own link or processor can be the reason for the delay.

Whether a connection may be closed for a reason is now one rule of its phase (ConnectionPhase::allows): while a complete request runs, or the socket has not taken its whole answer, it is not closed for others. An answer of which the client takes nothing ends after the idle time, as before.

No existing test had to change.

--- a/src/client_limits.rs
+++ b/src/client_limits.rs
@@ -27,7 +27,7 @@
 /// not.
 pub const PROGRESS_BYTES: usize = 4 * 1024;
 
-/// Time without progress before which no request is shed for others, so that requests in flight are not cut.
+/// Time without progress before which no request is shed for others, so that requests that arrive are not cut.
 pub const MIN_STALL: Duration = Duration::from_millis(250);
 
 /// Head limit while the configuration sets none.
@@ -87,6 +87,16 @@
     pub fn owes_answer(self) -> bool {
         matches!(self, Self::Body | Self::Running | Self::Answering)
     }
+
+    /// Returns whether a connection in this phase may be closed for a reason: no answer to a complete request is owed,
+    /// or its client has not taken it in time.
+    pub fn allows(self, reason: ShedReason) -> bool {
+        match self {
+            Self::Running => false,
+            Self::Answering => reason == ShedReason::SlowAnswer,
+            Self::Idle | Self::Head | Self::Body | Self::Answered => true,
+        }
+    }
 }
 
 /// How a connection ended; label of the metric.
@@ -216,8 +226,11 @@
     idle.or_else(|| slowest_request(views, now, 0))
 }
 
-/// Returns the connection that has made no progress for longest, among those of which more than `least_received` bytes
-/// are held; none if all have made progress in `MIN_STALL`. Requests in progress at a target are never returned.
+/// Returns the connection that has made no progress for longest, among those that receive a request and of which more
+/// than `least_received` bytes are held; none if all have made progress in `MIN_STALL`.
+///
+/// A connection on which an answer is owed to a complete request is never returned: the request may have run, and a
+/// full link or a busy processor of the node can delay its answer as well as the client can.
 pub fn slowest_request(
     views: impl Iterator<Item = ConnectionView>,
     now: Instant,
@@ -226,8 +239,10 @@
     let slowest = views
         .filter(|view| match view.phase {
             ConnectionPhase::Head | ConnectionPhase::Body => view.received >= least_received,
-            ConnectionPhase::Answering | ConnectionPhase::Answered => true,
-            ConnectionPhase::Idle | ConnectionPhase::Running => false,
+            ConnectionPhase::Idle
+            | ConnectionPhase::Running
+            | ConnectionPhase::Answering
+            | ConnectionPhase::Answered => false,
         })
         .filter(|view| now.saturating_duration_since(view.progressed) >= MIN_STALL)
         .min_by_key(|view| view.progressed);
--- a/src/mesh/client_connections.rs
+++ b/src/mesh/client_connections.rs
@@ -150,14 +150,14 @@
         self.charged.fetch_sub(less, Ordering::Relaxed);
     }
 
-    /// Closes a connection and returns its charges; a request that is in progress by now goes on.
+    /// Closes a connection and returns its charges, unless an answer is owed on it by now.
     fn shed(&self, table: &mut ConnectionTable, id: ConnectionId, reason: ShedReason) {
         let Some(connection) = table.open.get(&id) else {
             return;
         };
         let charges = {
             let mut state = connection.state.lock();
-            if state.closing || state.phase == ConnectionPhase::Running {
+            if state.closing || !state.phase.allows(reason) {
                 return;
             }
             state.closing = true;
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -1,4 +1,4 @@
-//! Answers to clients, and the phases of their connections, on a server with limits.
+//! Answers to clients on a server that closes connections for others.
 
 use {
     bytes::Bytes,
@@ -20,11 +20,15 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpSocket, TcpStream},
-            time::{sleep, timeout},
+        task::JoinHandle,
+        time::{sleep, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
+/// Connections that the server allows.
+const CONNECTIONS: usize = 24;
+
 /// Length of an answer that does not fit into the buffers of the kernel, in bytes.
 const LONG_ANSWER: usize = 16 << 20;
 
@@ -34,6 +38,9 @@
 /// Time limit of every wait; reached only if something is broken.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// Time for which new connections press: many times the one after which a request counts as stalled.
+const PRESS_TIME: Duration = Duration::from_secs(2);
+
 struct TestServer {
     address: SocketAddr,
     clients: ClientConnections,
@@ -52,7 +59,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let clients = ClientConnections::new(ClientLimits {
-            connections: 24,
+            connections: CONNECTIONS,
             buffer_bytes: 1 << 30,
         });
         let close = CancellationToken::new();
@@ -83,6 +90,24 @@
             sleep(Duration::from_millis(5)).await;
         }
     }
+
+    /// Opens connections that never complete a head, one after another and without end.
+    fn press(&self) -> JoinHandle<()> {
+        let address = self.address;
+        tokio::spawn(async move {
+            let mut open = Vec::new();
+            loop {
+                if let Ok(mut stream) = TcpStream::connect(address).await {
+                    let _ = stream.write_all(b"GET /1 HTTP/1.1\r\n").await;
+                    open.push(stream);
+                }
+                if open.len() > 4 * CONNECTIONS {
+                    open.remove(0);
+                }
+                sleep(Duration::from_millis(2)).await;
+            }
+        })
+    }
 }
 
 async fn answer(request: Request<Incoming>) -> Response<WholeBody> {
@@ -121,6 +146,28 @@
     taken
 }
 
+/// Guards against answers that are cut while their clients take them, because new connections need room.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_taken_slowly_arrives_whole_beside_new_connections() {
+    let server = TestServer::start().await;
+    let mut stream = server.connect().await;
+    ask(&mut stream, LONG_ANSWER).await;
+    let pressing = server.press();
+    let started = Instant::now();
+    let mut received = Vec::new();
+    let mut chunk = vec![0; 2048];
+
+    while started.elapsed() < PRESS_TIME {
+        let count = stream.read(&mut chunk).await.expect("an open connection");
+        received.extend_from_slice(&chunk[..count]);
+        sleep(Duration::from_millis(50)).await;
+    }
+    let taken = read_answer(&mut stream, received, LONG_ANSWER).await;
+
+    pressing.abort();
+    assert_eq!(taken, LONG_ANSWER);
+}
+
 /// Guards against a connection that counts as one with a stalled answer after its client has taken all of it, so that
 /// it is closed before others that have been idle for longer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -94,6 +94,19 @@
     assert_eq!(first_to_shed(views.into_iter(), now), None);
 }
 
+/// Guards against answers that are cut for others: their requests have run, and the node itself may be slow to send.
+#[test]
+fn answers_that_are_not_taken_are_never_closed_for_others() {
+    let now = some_time();
+    let views = [
+        view(1, ConnectionPhase::Answering, (9000, 9000), now),
+        view(2, ConnectionPhase::Answered, (9000, 9000), now),
+    ];
+
+    assert_eq!(first_to_shed(views.into_iter(), now), None);
+    assert_eq!(slowest_request(views.into_iter(), now, 32_768), None);
+}
+
 /// Guards against the closing of short requests for the memory of a body, which they do not hold.
 #[test]
 fn only_requests_that_hold_bytes_are_closed_for_a_body() {
