Withdraw calls without a body that wait at another node when their node stops

What callers saw: a stopping node closed connections 5.4 s after SIGTERM (grace period of 6 s) on which a call had been taken before the signal and had no answer.

Cause: only a call whose body was held back until its admission could be withdrawn. An idempotent call, and any call without a body, was forwarded as a whole, so its entry node could not tell whether it was waiting or running, and kept it until the exit.

Change: a call that has more time left than the grace period less the margins of the exit may outlast a shutdown. Its body is held back until the other node has admitted it, whatever its route; an empty body is sent in chunks, since a length of 0 would end the request with its head. Once the shutdown begins, such a call is refused as not run while it waits. Calls with less time are forwarded as before. The target gets the same headers: its node restores `Content-Length: 0` of a POST, PUT or PATCH.

The costs, a further exchange of messages for each such call and a connection between nodes for each refused one, follow from the protocol and have not been measured.

--- a/src/mesh/attempt.rs
+++ b/src/mesh/attempt.rs
@@ -9,6 +9,7 @@
         http::read_whole,
         move_table::MoveView,
         refusal::{ExecutionStatus, MeshRefusal, WholeBody},
+        shutdown::safe_call_time,
         target::{COLD_REASON, CallBody, MAX_ANSWER_BYTES, forwarded_headers, run_at_target},
         target_selection::{TargetOutcome, cold_pause},
     },
@@ -19,7 +20,10 @@
         target_client::{exchange_error, peer_uri},
     },
     bytes::Bytes,
-    http::{HeaderValue, Request, Response, StatusCode, header::EXPECT},
+    http::{
+        HeaderValue, Request, Response, StatusCode,
+        header::{CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
+    },
     http_body_util::Full,
     hyper_util::client::legacy::Error as ClientError,
     std::{
@@ -175,17 +179,18 @@
 
 /// Forwards a call to the node beside a target.
 ///
-/// The body of a request that must not run twice is held back until the node has admitted the call. If the node does
-/// not respond before that, the request has certainly not run.
+/// The body of a request that must not run twice, or that could last beyond a shutdown of this node, is held back until
+/// the other node has admitted the call. If this node abandons the call before that, the request has certainly not run.
 async fn send_hop(
     context: &Arc<MeshContext>,
     call: &EntryCall,
     target: &TargetEndpoint,
     metadata: &HopMetadata,
 ) -> HopResult {
-    let gated = !call.route.idempotent && !call.content.is_empty();
-    let gate = gated.then(BodyGate::default);
-    let Some(head) = hop_request(call, target, metadata, gated) else {
+    let must_not_repeat = !call.route.idempotent && !call.content.is_empty();
+    let outlasts_shutdown = call.left() > safe_call_time(context.settings.bounds.grace);
+    let gate = (must_not_repeat || outlasts_shutdown).then(BodyGate::default);
+    let Some(head) = hop_request(call, target, metadata, gate.is_some()) else {
         let refusal = MeshRefusal::rejected(StatusCode::BAD_REQUEST, "invalid-name");
         return (Err(refusal), None);
     };
@@ -194,7 +199,10 @@
     let exchange = exchange_hop(context, head, call.content.clone(), gate.as_ref());
     tokio::pin!(exchange);
     if let Some(gate) = &gate {
-        let admission_deadline = (started + metadata.finish_within + ADMISSION_SLACK).min(deadline);
+        let admission_deadline = match must_not_repeat {
+            true => (started + metadata.finish_within + ADMISSION_SLACK).min(deadline),
+            false => deadline,
+        };
         let abandoned = tokio::select! {
             result = &mut exchange => return not_run_if_body_unsent(result, Some(gate)),
             () = sleep_until(admission_deadline.into()) => {
@@ -240,6 +248,10 @@
     headers.insert(HOP_METADATA_HEADER, metadata.header_value()?);
     if gated {
         headers.insert(EXPECT, HeaderValue::from_static("100-continue"));
+        if call.content.is_empty() {
+            headers.remove(CONTENT_LENGTH);
+            headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+        }
     }
     *request.headers_mut() = headers;
     Some(request)
--- a/src/mesh/hop.rs
+++ b/src/mesh/hop.rs
@@ -201,7 +201,8 @@
     values.next()?.parse().ok()
 }
 
-/// Holds back the body of a request until the node beside the target sends `100 Continue`.
+/// Holds back the body of a request until the node beside the target sends `100 Continue`, which it does when the call
+/// leaves its queue.
 #[derive(Clone, Debug, Default)]
 pub struct BodyGate {
     state: Arc<Mutex<GateState>>,
@@ -235,7 +236,9 @@
     }
 }
 
-/// Body of a request to another node. A gate holds it back if the request must not run twice.
+/// Body of a request to another node. A gate holds it back if the call may be withdrawn while it waits there.
+///
+/// With a gate, an empty body is sent in chunks: a body of known length 0 ends with the head of the request.
 pub struct HopBody {
     content: Option<Bytes>,
     gate: Option<BodyGate>,
@@ -255,16 +258,24 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.content.as_ref().is_none_or(Bytes::is_empty)
+        !self.is_empty_behind_gate() && self.content.as_ref().is_none_or(Bytes::is_empty)
     }
 
     fn size_hint(&self) -> SizeHint {
+        if self.is_empty_behind_gate() {
+            return SizeHint::default();
+        }
         let length = self.content.as_ref().map_or(0, Bytes::len);
         SizeHint::with_exact(length as u64)
     }
 }
 
 impl HopBody {
+    /// Returns whether an empty body has not been sent yet and a gate holds it back.
+    fn is_empty_behind_gate(&self) -> bool {
+        self.gate.is_some() && self.content.as_ref().is_some_and(Bytes::is_empty)
+    }
+
     fn poll_gate(&self, context: &mut Context<'_>) -> Poll<()> {
         let Some(gate) = &self.gate else {
             return Poll::Ready(());
--- a/src/mesh/shutdown.rs
+++ b/src/mesh/shutdown.rs
@@ -88,6 +88,12 @@
     }
 }
 
+/// Returns the time within which a call must end to be sure that no later shutdown finds it with a deadline after the
+/// exit.
+pub fn safe_call_time(grace: Duration) -> Duration {
+    grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN)
+}
+
 /// Returns how long a stopping node still accepts calls.
 pub fn serve_time(grace: Duration) -> Duration {
     grace.mul_f64(SERVE_FRACTION)
--- a/src/mesh/target.rs
+++ b/src/mesh/target.rs
@@ -18,8 +18,8 @@
     },
     bytes::Bytes,
     http::{
-        HeaderMap, HeaderValue, Request, Response, StatusCode,
-        header::{CONTENT_ENCODING, CONTENT_LENGTH},
+        HeaderMap, HeaderValue, Method, Request, Response, StatusCode,
+        header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
         request::Parts,
     },
     http_body_util::{BodyExt, Full},
@@ -226,6 +226,7 @@
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = head.uri.clone();
     *request.headers_mut() = forwarded_headers(&head.headers);
+    restore_empty_length(head, &mut request);
     let left = deadline.saturating_duration_since(Instant::now());
     let headers = request.headers_mut();
     headers.insert(&names.deadline, HeaderValue::from(left.as_millis() as u64));
@@ -256,6 +257,17 @@
     request
 }
 
+/// Tells the length of an empty body that another node sent in chunks, since some targets reject a request of these
+/// methods without a length.
+fn restore_empty_length(head: &Parts, request: &mut Request<Bytes>) {
+    let needs_length = matches!(head.method, Method::POST | Method::PUT | Method::PATCH);
+    let was_chunked = head.headers.contains_key(TRANSFER_ENCODING);
+    if needs_length && was_chunked && request.body().is_empty() {
+        let zero = HeaderValue::from_static("0");
+        request.headers_mut().insert(CONTENT_LENGTH, zero);
+    }
+}
+
 /// Removes the key and the account that a caller sent: the key is not for targets, and only nodes name the account.
 pub fn remove_account_headers(context: &MeshContext, headers: &mut HeaderMap) {
     let names = &context.settings.headers;
