Answer requests that have come by the time a stopping node closes

What callers saw: a stopping node that gets little processor time closed kept connections without an answer although a request had been sent on them well before; it read the request only to discard it.

`select!` also polled the close signal first in half of the cases, when the buffer held a whole request.

Change: the connection is polled before the close signal, and idle connections are closed only after the runtime has asked the kernel once more for bytes and has read them. Such a request is refused as not run with 503 by the rule of the shutdown, or served if its server has no such rule.

That this ended a connection on an installation has not been observed: connections of callers who send often close before, since answers carry `Connection: close` from the signal on.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -30,6 +30,7 @@
     tokio::{
         io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
+        task::yield_now,
         time::{sleep, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -303,8 +304,9 @@
     S::Future: Unpin,
 {
     let ended = tokio::select! {
+        biased;
         ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
-        () = close.cancelled() => {
+        () = closed_and_read(&close) => {
             Pin::new(&mut *connection).graceful_shutdown();
             poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
@@ -320,6 +322,17 @@
     }
 }
 
+/// Waits until connections are to be closed, and the requests that had come by then have been read.
+///
+/// A node that gets little processor time may not have read them yet, and an idle connection is closed at once.
+async fn closed_and_read(close: &CancellationToken) {
+    close.cancelled().await;
+    // After the first yield the runtime knows which sockets have bytes, after the second they have been read.
+    for _ in 0..2 {
+        yield_now().await;
+    }
+}
+
 /// Closes a connection so that the last response arrives (lingering close); returns how it ended.
 ///
 /// Closing a socket with unread bytes, such as further requests, resets the connection, and the client could lose the
