Count a request without a body as complete with its head

Callers whose request waited in a full node, for a configuration or for the cap of an account, got a closed connection or a 408.

Cause: the table of connections learned that a request was complete only when its handler had read the body, after these waits. Until then the request counted as one that is still arriving, made no progress, and could be closed for a new connection after 250 ms, although it had been sent as a whole.

A request without a body is now marked as complete before its handler runs. Requests with a body are still marked when the body has been read.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -266,10 +266,14 @@
 
 /// Marks the beginning of a request on its connection, and lets its handler know the connection.
 ///
-/// The handler marks when the request is complete. A request without a body on a connection that is being closed is
-/// refused by the handler like one whose body was cut off.
+/// A request without a body is complete from here on, whatever its handler waits for; the handler marks when any other
+/// is. A request without a body on a connection that is being closed is refused by the handler like one whose body was
+/// cut off.
 fn begin_request(client: &ClientConnection, request: &mut Request<Incoming>) {
     client.begin_body();
+    if request.body().is_end_stream() {
+        client.begin_run();
+    }
     request.extensions_mut().insert(client.clone());
 }
 
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    http::{Request, Response},
+    http::{Request, Response, StatusCode},
     http_body_util::Full,
     hyper::body::Incoming,
     poplarwing::{
@@ -35,6 +35,9 @@
 /// Length of an answer that the kernel of the server takes as a whole, and the one of the client does not.
 const MEDIUM_ANSWER: usize = 300_000;
 
+/// Path of requests that wait before they run.
+const WAITING_PATH: &str = "/wait";
+
 /// Repetitions of the test of a reset.
 const ROUNDS: usize = 4;
 
@@ -116,11 +119,21 @@
     }
 }
 
+/// Answers as a node does: after it has waited, as for the cap of an account, the request runs unless its connection is
+/// being closed.
 async fn answer(request: Request<Incoming>) -> Response<WholeBody> {
+    let path = request.uri().path();
+    if path == WAITING_PATH {
+        sleep(PRESS_TIME / 2).await;
+    }
     let client = request.extensions().get::<ClientConnection>();
-    assert!(client.expect("a limited connection").begin_run());
-    let length = request.uri().path()[1..].parse().expect("length");
-    Response::new(Full::new(Bytes::from(vec![b'a'; length])))
+    let runs = client.expect("a limited connection").begin_run();
+    let length = path[1..].parse().unwrap_or(1);
+    let mut response = Response::new(Full::new(Bytes::from(vec![b'a'; length])));
+    if !runs {
+        *response.status_mut() = StatusCode::REQUEST_TIMEOUT;
+    }
+    response
 }
 
 async fn ask(stream: &mut TcpStream, length: usize) {
@@ -174,6 +187,24 @@
     assert_eq!(taken, LONG_ANSWER);
 }
 
+/// Guards against the close of a request that is complete, because it waits in the node for something before it runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_complete_request_that_waits_is_not_closed_for_new_connections() {
+    let server = TestServer::start().await;
+    let mut stream = server.connect().await;
+    let text = format!("GET {WAITING_PATH} HTTP/1.1\r\nHost: node\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.expect("send");
+    let pressing = server.press();
+
+    let mut received = vec![0; 1024];
+    let read = timeout(WAIT_LIMIT, stream.read(&mut received)).await;
+
+    pressing.abort();
+    let length = read.expect("bytes in time").expect("an open connection");
+    let received = String::from_utf8_lossy(&received[..length]);
+    assert!(received.starts_with("HTTP/1.1 200"), "{received:?}");
+}
+
 /// Guards against a connection that counts as one with a stalled answer after its client has taken all of it, so that
 /// it is closed before others that have been idle for longer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
