Hold back long bodies until the other node has admitted the call

A client whose safe call had a body of 2 MiB got 502 'node-broke-off' when the call waited for a slot at another node for longer than 1 s. The target had not run it.

The body was sent at once, but the node beside the target reads none of it before admission. Once its buffers are full, the entry node's connection takes no more bytes, and TCP_USER_TIMEOUT closes it after 1 s: the kernel counts a receiver without room like one that does not acknowledge. The rule does not ask whether an answer is owed.

Bodies over 32 KiB are now sent like those of requests that must not run twice: after the node has answered '100 Continue', which it does when it first reads the body. A refused call no longer sends its long body either. The cost is one more round trip for such bodies.

--- a/src/mesh/attempt.rs
+++ b/src/mesh/attempt.rs
@@ -47,6 +47,10 @@
 /// Time by which the node beside the target times out before the entry node does, so that its refusal still arrives.
 const HOP_MARGIN: Duration = Duration::from_millis(10);
 
+/// Longest body that is sent before the node beside the target has admitted the call, in bytes. That node reads twice as
+/// much ahead.
+const MAX_BODY_SENT_AHEAD: usize = 32 * 1024;
+
 /// Time beyond `finish_within` after which an attempt is abandoned if the node has not asked for the body.
 const ADMISSION_SLACK: Duration = Duration::from_millis(250);
 
@@ -177,19 +181,28 @@
 /// Result of a forwarded call, with the load of the target if the node reported it.
 type HopResult = (Result<Response<WholeBody>, MeshRefusal>, Option<TargetLoad>);
 
+/// Returns whether the body of a call is sent only once the node beside the target has admitted the call.
+///
+/// This holds for each request that must not run twice, and for each long body: that node reads nothing while the call
+/// waits for a slot, and the bytes that it has no room for would end the connection as unacknowledged.
+fn is_body_held_back(call: &EntryCall) -> bool {
+    let length = call.content.len();
+    length > MAX_BODY_SENT_AHEAD || (!call.route.idempotent && length > 0)
+}
+
 /// Forwards a call to the node beside a target.
 ///
-/// The body of a request that must not run twice, or that could last beyond a shutdown of this node, is held back until
-/// the other node has admitted the call. If this node abandons the call before that, the request has certainly not run.
+/// If the body is held back and this node abandons the call before it has been sent, the request has certainly not run.
+/// A call that could last beyond a shutdown of this node holds back its body too, also an empty one.
 async fn send_hop(
     context: &Arc<MeshContext>,
     call: &EntryCall,
     target: &TargetEndpoint,
     metadata: &HopMetadata,
 ) -> HopResult {
-    let must_not_repeat = !call.route.idempotent && !call.content.is_empty();
+    let is_held_back = is_body_held_back(call);
     let outlasts_shutdown = call.left() > safe_call_time(context.settings.bounds.grace);
-    let gate = (must_not_repeat || outlasts_shutdown).then(BodyGate::default);
+    let gate = (is_held_back || outlasts_shutdown).then(BodyGate::default);
     let Some(head) = hop_request(call, target, metadata, gate.is_some()) else {
         let refusal = MeshRefusal::rejected(StatusCode::BAD_REQUEST, "invalid-name");
         return (Err(refusal), None);
@@ -199,7 +212,7 @@
     let exchange = exchange_hop(context, head, call.content.clone(), gate.as_ref());
     tokio::pin!(exchange);
     if let Some(gate) = &gate {
-        let admission_deadline = match must_not_repeat {
+        let admission_deadline = match is_held_back {
             true => (started + metadata.finish_within + ADMISSION_SLACK).min(deadline),
             false => deadline,
         };
