Send the last answer on a connection whole before a stop closes it

Cause: answers of a stopping node say Connection: close. The HTTP server counts its side as closed as soon as such an answer is in its own buffer; graceful_shutdown then ends the connection at once, and the node took the socket back from the server without the bytes in that buffer (poll_without_shutdown, into_parts). Change: the connection is polled as a whole, with its shutdown, which writes the buffer first. Ends after a cut answer are logged whatever they are called: these were counted as served. Evidence: the_last_answer_on_a_connection_arrives_whole_although_the_server_stops failed before (2,807,707 of 16,777,216 bytes) and passes with the change; the other tests of client_connections and mesh_server_close pass.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -21,7 +21,7 @@
     std::{
         convert::Infallible,
         error::Error,
-        future::{Future, pending, poll_fn},
+        future::{Future, pending},
         mem,
         pin::{Pin, pin},
         time::Duration,
@@ -307,12 +307,13 @@
     S::Error: Into<Box<dyn Error + Send + Sync>>,
     S::Future: Unpin,
 {
+    // Polled as a whole, with its shutdown: without it, the server is done before the socket has taken the last answer.
     let ended = tokio::select! {
         biased;
-        ended = poll_fn(|context| connection.poll_without_shutdown(context)) => ended,
+        ended = &mut *connection => ended,
         () = closed_and_read(&close) => {
             Pin::new(&mut *connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
+            connection.await
         }
     };
     if let Err(cause) = &ended {
--- a/src/mesh/node.rs
+++ b/src/mesh/node.rs
@@ -490,8 +490,7 @@
     });
     for ((end, phase), count) in clients.take_ends() {
         context.metrics.count_connection_ends(end, phase, count);
-        let is_notable = phase.owes_answer() && end != ConnectionEnd::Served;
-        if is_notable || end == ConnectionEnd::Unread {
+        if phase.owes_answer() || end == ConnectionEnd::Unread {
             info!(
                 decision = "connection", %end, %phase, count,
                 "connections of clients ended before a whole answer"
