Keep a connection that is closed for others until its refusal is made

Callers whose request with a body was given up in a full node got a closed connection instead of the 408 that promises that it has not run.

Cause: the connection was dropped 500 ms after the decision, whether or not the handler had answered. A handler that waits for a configuration or for the cap of an account, or whose process has little processor time, notices the decision later.

The connection now stays open until the handler has answered, which it does when its wait ends. The 500 ms remain the bound for handing the refusal to the socket.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -54,7 +54,7 @@
 /// Time to wait for the bytes of a closed request.
 const ROOM_DELAY: Duration = Duration::from_millis(2);
 
-/// Time in which a request whose connection is to be closed gets its refusal.
+/// Time in which the refusal of a request whose connection is to be closed is handed to the socket.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
 /// Error of a body that could not be read as a whole.
@@ -292,7 +292,8 @@
         return pending().await;
     };
     limited.shed().await;
-    if limited.has_request() {
+    // A refusal may be delayed by what the request waits for, or by a busy processor. Its sending ends the connection.
+    while limited.has_request() {
         sleep(REFUSAL_TIME).await;
     }
 }
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -203,24 +203,42 @@
     assert_eq!(taken, LONG_ANSWER);
 }
 
-/// Guards against the close of a request that is complete, because it waits in the node for something before it runs.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_complete_request_that_waits_is_not_closed_for_new_connections() {
+/// Sends a request that waits before it runs, while new connections press; returns the first bytes of the answer, none
+/// if the connection was closed.
+async fn wait_under_pressure(text: &str) -> String {
     let server = TestServer::start().await;
     let mut stream = server.connect().await;
-    let text = format!("GET {WAITING_PATH} HTTP/1.1\r\nHost: node\r\n\r\n");
     stream.write_all(text.as_bytes()).await.expect("send");
     let pressing = server.press();
-
     let mut received = vec![0; 1024];
     let read = timeout(WAIT_LIMIT, stream.read(&mut received)).await;
-
     pressing.abort();
     let length = read.expect("bytes in time").expect("an open connection");
-    let received = String::from_utf8_lossy(&received[..length]);
+    String::from_utf8_lossy(&received[..length]).into_owned()
+}
+
+/// Guards against the close of a request that is complete, because it waits in the node for something before it runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_complete_request_that_waits_is_not_closed_for_new_connections() {
+    let text = format!("GET {WAITING_PATH} HTTP/1.1\r\nHost: node\r\n\r\n");
+
+    let received = wait_under_pressure(&text).await;
+
     assert!(received.starts_with("HTTP/1.1 200"), "{received:?}");
 }
 
+/// Guards against a connection that is closed for others before its request, whose body has not been read yet, gets the
+/// refusal that promises that it has not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_is_given_up_for_others_gets_its_refusal() {
+    let head = format!("POST {WAITING_PATH} HTTP/1.1\r\nHost: node\r\nContent-Length: 5\r\n\r\n");
+
+    let received = wait_under_pressure(&(head + "hello")).await;
+
+    assert!(received.starts_with("HTTP/1.1 408"), "{received:?}");
+    assert!(received.contains("connection: close"), "{received:?}");
+}
+
 /// Guards against a connection that counts as one with a stalled answer after its client has taken all of it, so that
 /// it is closed before others that have been idle for longer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
