Refuse a response whose coding only ends in "chunked"

A caller got a truncated response as a complete one if its target named a transfer coding such as "x-chunked". The node took any coding whose name ends in "chunked" for chunks, whose last one marks the end of the body. The HTTP client reads such a body until the connection ends, so a target that broke off could not be told from one that was done.

The last coding is now compared as a whole, as the HTTP client does it.

--- a/src/forward_server.rs
+++ b/src/forward_server.rs
@@ -221,7 +221,8 @@
         .iter()
         .next_back()
         .and_then(|value| value.to_str().ok())
-        .is_some_and(|text| text.trim_end().to_ascii_lowercase().ends_with("chunked"))
+        .and_then(|text| text.rsplit(',').next())
+        .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Returns the earlier of the deadline that the entry node sent and that of the route, which is counted from
