Fail an exchange whose target ends its side during the upload

A target that sent a part of a response without a length and then ended its side of the connection, while the request was still being written, was taken for one that was done: the caller got 200 with that part as the whole body. The node also kept the rest of the request in memory until the target closed the other side; after two such uploads of 16 MB it refused further ones with 503 "body-memory".

A body without a length ends with its connection, so the HTTP client takes any end of the stream for the end of the body, and it goes on writing afterwards.

The connection to a target now knows whether a write is waiting for the target. If the stream ends meanwhile, reading and all further writes fail: the response is broken off and the rest of the request is dropped. A response with a length or with chunks that has arrived before is passed on as it was. The end of the stream after the request has been written still ends the body.

--- a/src/target_client/connector.rs
+++ b/src/target_client/connector.rs
@@ -13,10 +13,10 @@
         io::{Error, ErrorKind, IoSlice},
         net::SocketAddr,
         pin::Pin,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
-    tokio::{net::TcpStream, time::timeout},
+    tokio::{io::ReadBuf, net::TcpStream, time::timeout},
     tower_service::Service,
 };
 
@@ -47,6 +47,8 @@
         Ok(BoundedStream {
             inner: TokioIo::new(stream),
             permit: Some(permit),
+            write_blocked: false,
+            ended_early: false,
         })
     }
 }
@@ -66,10 +68,39 @@
 }
 
 /// A TCP connection with its permit, which is released some time after the connection was closed.
+///
+/// A target that ends its side before the request has been written fails the connection. A response that ends with
+/// its connection would otherwise look complete, and the connection would hold the rest of the request until the target
+/// closes the other side too.
 #[derive(Debug)]
 pub struct BoundedStream {
     inner: TokioIo<TcpStream>,
     permit: Option<PoolPermit>,
+    /// Whether the last write is still waiting for the target to read.
+    write_blocked: bool,
+    /// Whether the target ended its side meanwhile; all further writes fail, so that the rest of the request is dropped.
+    ended_early: bool,
+}
+
+impl BoundedStream {
+    /// Waits until bytes can be read; fails at the end of the stream.
+    fn poll_readable(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        let mut next = [0];
+        let stream = self.inner.inner();
+        let length = ready!(stream.poll_peek(context, &mut ReadBuf::new(&mut next)))?;
+        self.ended_early = length == 0;
+        Poll::Ready(self.check_not_ended())
+    }
+
+    fn check_not_ended(&self) -> Result<(), Error> {
+        match self.ended_early {
+            true => Err(Error::new(
+                ErrorKind::ConnectionAborted,
+                "the target ended its side before the request was written",
+            )),
+            false => Ok(()),
+        }
+    }
 }
 
 impl Drop for BoundedStream {
@@ -92,6 +123,9 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<Result<(), Error>> {
+        if self.write_blocked {
+            ready!(self.poll_readable(context))?;
+        }
         Pin::new(&mut self.inner).poll_read(context, buffer)
     }
 }
@@ -102,7 +136,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize, Error>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        self.check_not_ended()?;
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.write_blocked = written.is_pending();
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<(), Error>> {
@@ -125,6 +162,9 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize, Error>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+        self.check_not_ended()?;
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.write_blocked = written.is_pending();
+        written
     }
 }
