Refuse responses with a status that is not that of a final response

Callers got 101, 600 and 999 as responses if a target sent them, with its signature on the path that asks for one. 101 answers a request for a change of protocol, which nodes never send, and HTTP defines no status from 600 on. The HTTP client accepts 101 as a final response, and any number from 200 to 999.

The client for targets, through which all their responses come, now accepts 200 to 599 only. Others end the exchange like a broken connection: 502 without the target's signature, and the connection is not used again.

--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -30,6 +30,7 @@
     std::{
         error::Error,
         net::SocketAddr,
+        ops::RangeInclusive,
         pin::pin,
         sync::Arc,
         time::{Duration, Instant},
@@ -55,6 +56,10 @@
 /// outcome, so the client closes first.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Statuses with which a target may answer. Requests to a target ask for no change of protocol, so 101 answers none of
+/// them, and HTTP defines no status from 600 on.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Body of `POST /v1/targets`, by which a target announces itself to its node.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -187,7 +192,7 @@
         withdrawn: &CancellationToken,
     ) -> Result<TrackedAnswer, ExchangeError> {
         let capture = capture_connection(&mut request);
-        let mut sending = pin!(self.send(request));
+        let mut sending = pin!(self.send_captured(request, &capture));
         let response = tokio::select! {
             biased;
             () = withdrawn.cancelled() => None,
@@ -198,7 +203,9 @@
             None if capture.connection_metadata().is_some() => sending.await?,
             None => return Err(self.withdrawn_error()),
         };
-        let connection = AnswerConnection { capture };
+        let connection = AnswerConnection {
+            capture: capture.clone(),
+        };
         Ok(TrackedAnswer {
             response,
             connection,
@@ -223,11 +230,32 @@
     pub async fn send(
         &self,
         mut request: Request<ExchangeBody>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let capture = capture_connection(&mut request);
+        self.send_captured(request, &capture).await
+    }
+
+    async fn send_captured(
+        &self,
+        mut request: Request<ExchangeBody>,
+        capture: &CaptureConnection,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let peer = self.peer_name();
         *request.uri_mut() = peer_uri(self.address, request.uri().path_and_query());
         let result = self.client.request(request).await;
-        result.map_err(|error| exchange_error(&error, &peer))
+        let response = result.map_err(|error| exchange_error(&error, &peer))?;
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            poison(capture);
+            return Err(ExchangeError {
+                outcome: AttemptOutcome::Unknown,
+                stale: false,
+                step: "read response of",
+                peer,
+                cause: format!("{status} is not the status of a final response"),
+            });
+        }
+        Ok(response)
     }
 }
 
@@ -247,9 +275,13 @@
 impl AnswerConnection {
     /// Removes the connection from the pool, so that it is not reused for another request.
     pub fn poison(&self) {
-        if let Some(connected) = self.capture.connection_metadata().as_ref() {
-            connected.poison();
-        }
+        poison(&self.capture);
+    }
+}
+
+fn poison(capture: &CaptureConnection) {
+    if let Some(connected) = capture.connection_metadata().as_ref() {
+        connected.poison();
     }
 }
 
--- a/tests/call_early_answers.rs
+++ b/tests/call_early_answers.rs
@@ -1,4 +1,4 @@
-//! Responses that a target sends before it has read the request.
+//! Responses that a target sends before it has read the request, and responses whose status is not that of an answer.
 
 #[path = "call_support/cluster.rs"]
 mod cluster;
@@ -192,3 +192,35 @@
         }
     }
 }
+
+/// Guards against a response whose status is not that of a final answer, such as 000.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_status_outside_of_the_protocol_is_not_passed_on() {
+    let mut wrong = Vec::new();
+    for text in [
+        "HTTP/1.1 000 Status\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 099 Status\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 101 Status\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 199 Status\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 600 Status\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 999 Status\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 20 Status\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 2000 Status\r\ncontent-length: 5\r\n\r\nhello",
+    ] {
+        let target = EarlyTarget::start(EarlyResponse {
+            read_bytes: 0,
+            text,
+            wait: Duration::ZERO,
+            end: ConnectionEnd::Close,
+        })
+        .await;
+        // Each case gets new nodes, which have not ejected the target.
+        for node in &nodes_with(&target).await {
+            let response = call(node, "POST", "/signoff", "s", "").await;
+            if (response.status, response.outcome()) != (502, Some("unknown")) {
+                wrong.push(format!("{} {text:?}: {response:?}", node.id));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
