Count a call that times out in the queue of another node as timed out

Change: without another reason to hold the body back, such a call ends with 504 deadline, as it did before.

--- a/src/mesh/attempt.rs
+++ b/src/mesh/attempt.rs
@@ -218,13 +218,13 @@
         };
         let abandoned = tokio::select! {
             result = &mut exchange => return not_run_if_body_unsent(result, Some(gate)),
-            () = sleep_until(admission_deadline.into()) => {
-                MeshRefusal::not_run("node-silent", UNREACHABLE_RETRY_AFTER)
-            }
-            () = context.shutdown.refuses_waiting(call.deadline) => MeshRefusal::stopping(),
+            // A call that is held back only because of shutdowns times out like any other.
+            () = sleep_until(admission_deadline.into()) => is_held_back
+                .then(|| MeshRefusal::not_run("node-silent", UNREACHABLE_RETRY_AFTER)),
+            () = context.shutdown.refuses_waiting(call.deadline) => Some(MeshRefusal::stopping()),
         };
-        if gate.close_unless_released() {
-            return (Err(abandoned), None);
+        if let Some(refusal) = abandoned.filter(|_| gate.close_unless_released()) {
+            return (Err(refusal), None);
         }
     }
     match timeout_at(deadline.into(), &mut exchange).await {
