--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -211,7 +211,7 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         let client = client.clone();
         let handler = handler.clone();
-        // The server polls this only after the socket has taken the whole answer to the request before.
+        // The server polls this only after the socket has taken the body of the answer to the request before.
         Box::pin(async move {
             if let Some(client) = &client {
                 begin_request(client, &mut request);
