Count a connection as idle once the socket has taken its answer

Cause: after an answer that took some time, the HTTP server does not ask for the next request, so the connection stays in the phase answered. Since this phase is neither idle nor one that may be closed for others, and a node whose connections have all been answered admits no new client. Change: answered counts as idle for the order of closing and for the idle time.

--- a/src/client_limits.rs
+++ b/src/client_limits.rs
@@ -77,7 +77,8 @@
     /// An answer is being sent: the socket has not taken all of its bytes.
     #[display("answering")]
     Answering,
-    /// The socket has taken a whole answer, and the server has not asked for the next request.
+    /// The socket has taken a whole answer, and the server has not asked for the next request. The connection counts as
+    /// idle: a server that has asked before does not ask again until bytes come.
     #[display("answered")]
     Answered,
 }
@@ -88,6 +89,11 @@
         matches!(self, Self::Body | Self::Running | Self::Answering)
     }
 
+    /// Returns whether no request has begun since the last answer.
+    pub fn is_idle(self) -> bool {
+        matches!(self, Self::Idle | Self::Answered)
+    }
+
     /// Returns whether a connection in this phase may be closed for a reason: no answer to a complete request is owed,
     /// or its client has not taken it in time.
     pub fn allows(self, reason: ShedReason) -> bool {
@@ -220,7 +226,7 @@
 ) -> Option<ConnectionId> {
     let idle = views
         .clone()
-        .filter(|view| view.phase == ConnectionPhase::Idle)
+        .filter(|view| view.phase.is_idle())
         .min_by_key(|view| view.begun);
     let idle = idle.map(|view| view.id);
     idle.or_else(|| slowest_request(views, now, 0))
@@ -256,11 +262,11 @@
     bounds: &ConnectionBounds,
 ) -> Option<ShedReason> {
     let (since, limit, reason) = match view.phase {
-        ConnectionPhase::Idle => (view.begun, bounds.idle_time, ShedReason::Idle),
-        ConnectionPhase::Head => (view.begun, bounds.head_time, ShedReason::SlowHead),
-        ConnectionPhase::Answering | ConnectionPhase::Answered => {
-            (view.progressed, bounds.idle_time, ShedReason::SlowAnswer)
+        ConnectionPhase::Idle | ConnectionPhase::Answered => {
+            (view.begun, bounds.idle_time, ShedReason::Idle)
         }
+        ConnectionPhase::Head => (view.begun, bounds.head_time, ShedReason::SlowHead),
+        ConnectionPhase::Answering => (view.progressed, bounds.idle_time, ShedReason::SlowAnswer),
         // A body has the deadline of its call, and so has a request in progress.
         ConnectionPhase::Body | ConnectionPhase::Running => return None,
     };
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -306,3 +306,29 @@
     let taken = read_answer(&mut stream, Vec::new(), LONG_ANSWER).await;
     assert_eq!(taken, LONG_ANSWER);
 }
+
+/// Guards against a full server whose connections have all been answered and that admits no new client: after an answer
+/// that took some time, the HTTP server does not ask for the next request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_that_have_been_answered_make_room_for_new_clients() {
+    let server = TestServer::start().await;
+    let mut kept = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = server.connect().await;
+        let text = format!("GET {WAITING_PATH} HTTP/1.1\r\nHost: node\r\n\r\n");
+        stream.write_all(text.as_bytes()).await.expect("send");
+        kept.push(stream);
+    }
+    for stream in &mut kept {
+        assert_eq!(read_answer(stream, Vec::new(), 1).await, 1);
+    }
+
+    // The clients keep the connections that the server closes, and one in eight is closed at a time.
+    for number in 0..CONNECTIONS / 8 {
+        let mut stream = server.connect().await;
+        ask(&mut stream, 1).await;
+        let taken = read_answer(&mut stream, Vec::new(), 1).await;
+        assert_eq!(taken, 1, "new client {number}");
+        kept.push(stream);
+    }
+}
