--- a/review/cases-2/main.rs
+++ b/review/cases-2/main.rs
@@ -4,7 +4,6 @@
 //! `TROUBLE=0` in the environment it does the same without the disruption.
 
 mod client;
-mod departure_after_odd_heartbeat;
 mod http;
 mod json;
 mod next_version_after_rollback;
@@ -55,7 +54,6 @@
     let run = || match name.as_str() {
         "next-version-after-rollback" => Some(next_version_after_rollback::play(&stage)),
         "unordered-version" => Some(unordered_version::play(&stage)),
-        "departure-after-odd-heartbeat" => Some(departure_after_odd_heartbeat::play(&stage)),
         _ => None,
     };
     let held = panic::catch_unwind(panic::AssertUnwindSafe(run))
